--- /dev/null
+++ b/cli/src/main/java/org/mustardlatch/cli/package-info.java
@@ -0,0 +1,5 @@
+/** Placeholder. */
+@NullMarked
+package org.mustardlatch.cli;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/org/mustardlatch/core/package-info.java
@@ -0,0 +1,5 @@
+/** Placeholder. */
+@NullMarked
+package org.mustardlatch.core;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/daemon/src/main/java/org/mustardlatch/daemon/package-info.java
@@ -0,0 +1,5 @@
+/** Placeholder. */
+@NullMarked
+package org.mustardlatch.daemon;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/replay/src/main/java/org/mustardlatch/replay/package-info.java
@@ -0,0 +1,5 @@
+/** Placeholder. */
+@NullMarked
+package org.mustardlatch.replay;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/standin/src/main/java/org/mustardlatch/standin/package-info.java
@@ -0,0 +1,5 @@
+/** Placeholder. */
+@NullMarked
+package org.mustardlatch.standin;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/wire/src/main/java/org/mustardlatch/wire/package-info.java
@@ -0,0 +1,5 @@
+/** Placeholder. */
+@NullMarked
+package org.mustardlatch.wire;
+
+import org.jspecify.annotations.NullMarked;
