Add shared values, manifest records, routing and peer interfaces, numbered log events

Cause: the parts of the system are built at the same time and need the same types first. Conclusion: interfaces are fixed; parts can be written against them.

--- /dev/null
+++ b/core/src/main/java/org/mustardlatch/core/error/ErrorCode.java
@@ -0,0 +1,53 @@
+package org.mustardlatch.core.error;
+
+import java.util.Locale;
+
+/**
+ * Stable codes of errors that callers and operators see. A code keeps its meaning between releases.
+ */
+public enum ErrorCode {
+  INVALID_ARGUMENT(400),
+  MALFORMED_JSON(400),
+  UNKNOWN_FIELD(400),
+  BODY_TOO_LARGE(413),
+  HEADERS_TOO_LARGE(431),
+  UNAUTHENTICATED(401),
+  UNKNOWN_MODEL(404),
+  UNKNOWN_ROUTE(404),
+  UNKNOWN_REQUEST(404),
+  PROMPT_TOO_LONG(400),
+  RATE_LIMITED(429),
+  OVERLOADED(503),
+  DRAINING(503),
+  NOT_READY(503),
+  STORE_UNAVAILABLE(503),
+  UPSTREAM_UNAVAILABLE(503),
+  UPSTREAM_FAILED(502),
+  DEADLINE_EXCEEDED(504),
+  REQUEST_QUARANTINED(422),
+  IDEMPOTENCY_KEY_EXPIRED(422),
+  IDEMPOTENCY_KEY_REUSED(422),
+  IN_PROGRESS(409),
+  OUTCOME_UNKNOWN(504),
+  MANIFEST_INVALID(422),
+  MANIFEST_CONFLICT(409),
+  MANIFEST_UNKNOWN(504),
+  SETTINGS_INVALID(400),
+  INTERNAL(500);
+
+  private final int httpStatus;
+
+  ErrorCode(int httpStatus) {
+    this.httpStatus = httpStatus;
+  }
+
+  /** Returns the HTTP status that goes with this code. */
+  public int httpStatus() {
+    return httpStatus;
+  }
+
+  /** Returns the code in the form that callers see, for example {@code unknown_model}. */
+  public String wireName() {
+    return name().toLowerCase(Locale.ROOT);
+  }
+}
--- a/core/src/main/java/org/mustardlatch/core/package-info.java
+++ /dev/null
@@ -1,5 +0,0 @@
-/** Placeholder. */
-@NullMarked
-package org.mustardlatch.core;
-
-import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/org/mustardlatch/core/peer/package-info.java
@@ -0,0 +1,8 @@
+/**
+ * Messages between nodes as immutable values. Times in messages are durations, never points in
+ * time, because monotonic clocks of two processes can't be compared.
+ */
+@NullMarked
+package org.mustardlatch.core.peer;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/daemon/src/main/java/org/mustardlatch/daemon/log/EventLog.java
@@ -0,0 +1,23 @@
+package org.mustardlatch.daemon.log;
+
+import org.tinylog.Logger;
+
+/** Writes numbered events to the log. */
+public final class EventLog {
+  private EventLog() {}
+
+  /**
+   * Writes one event.
+   *
+   * @param event which event
+   * @param arguments fill the braces of the event's pattern in order
+   */
+  public static void log(LogEvent event, Object... arguments) {
+    String message = "ML-" + event.number() + " " + event.pattern();
+    switch (event.level()) {
+      case INFO -> Logger.info(message, arguments);
+      case WARN -> Logger.warn(message, arguments);
+      case ERROR -> Logger.error(message, arguments);
+    }
+  }
+}
--- a/daemon/src/main/java/org/mustardlatch/daemon/package-info.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/package-info.java
@@ -1,4 +1,4 @@
-/** Placeholder. */
+/** The daemon: services with start and stop around the decision logic of the core module. */
 @NullMarked
 package org.mustardlatch.daemon;
 
