--- /dev/null
+++ b/core/src/main/java/org/mustardlatch/core/manifest/ManifestParser.java
@@ -0,0 +1,309 @@
+package org.mustardlatch.core.manifest;
+
+import java.net.URI;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Predicate;
+import org.jspecify.annotations.Nullable;
+import org.mustardlatch.core.error.ParseResult;
+import org.mustardlatch.core.model.ModelId;
+import org.mustardlatch.core.model.RegionId;
+import org.mustardlatch.core.model.UpstreamId;
+import org.mustardlatch.core.model.WorkspaceId;
+import org.mustardlatch.core.model.ZoneId;
+import org.mustardlatch.core.toml.TomlFindings;
+import org.mustardlatch.core.toml.TomlSection;
+
+/**
+ * Reads a manifest and checks it as a whole. All faults are reported together, so that a pipeline
+ * needs one run to see them.
+ */
+public final class ManifestParser {
+  /** Largest manifest that the object service holds, bytes. */
+  public static final int MAX_BYTES = 1_000_000;
+
+  private static final long MAX_RATE = 1_000_000_000_000L;
+  private static final int MAX_MILLIS = 3_600_000;
+
+  private ManifestParser() {}
+
+  /**
+   * Reads a manifest.
+   *
+   * @param file name for findings
+   * @param text TOML text
+   * @return the manifest, or every fault with its place
+   */
+  public static ParseResult<Manifest> parse(String file, String text) {
+    TomlFindings findings = new TomlFindings(file);
+    if (text.length() > MAX_BYTES) {
+      findings.add(
+          "too_large",
+          null,
+          "the manifest has "
+              + text.length()
+              + " characters, at most "
+              + MAX_BYTES
+              + " are allowed",
+          "split the deployment");
+      return ParseResult.invalid(findings.all());
+    }
+    TomlSection root = TomlSection.parse(text, findings);
+    if (!findings.all().isEmpty()) {
+      return ParseResult.invalid(findings.all());
+    }
+    Manifest manifest = read(root);
+    return findings.all().isEmpty()
+        ? ParseResult.valid(manifest)
+        : ParseResult.invalid(findings.all());
+  }
+
+  private static Manifest read(TomlSection root) {
+    TomlSection head = root.section("manifest");
+    String name = head.requiredString("name");
+    Objective objective = head.optional("objective", ManifestParser::objective);
+    head.rejectUnknownKeys();
+    ManifestReferences references = new ManifestReferences();
+    List<Region> regions = new ArrayList<>();
+    root.sections("region").forEach(s -> addRegion(s, regions, references));
+    if (regions.isEmpty()) {
+      root.finding("missing_key", "region", "the manifest has no region", "add a [[region]]");
+    }
+    CrossRegionLink link = readLink(root.section("link"));
+    List<Workspace> workspaces = new ArrayList<>();
+    root.sections("workspace").forEach(s -> addWorkspace(s, workspaces, references));
+    List<Model> models = new ArrayList<>();
+    root.sections("model").forEach(s -> addModel(s, models, references));
+    List<Upstream> upstreams = new ArrayList<>();
+    root.sections("upstream").forEach(s -> addUpstream(s, upstreams, references));
+    List<Route> routes = new ArrayList<>();
+    root.sections("route").forEach(s -> addRoute(s, routes, references));
+    LedgerPolicy ledger = readLedger(root.section("ledger"));
+    Limits limits = readLimits(root.section("limits"));
+    root.rejectUnknownKeys();
+    Manifest manifest =
+        new Manifest(
+            name,
+            objective == null ? Objective.WASTE_AVERSE : objective,
+            regions,
+            link,
+            workspaces,
+            models,
+            upstreams,
+            routes,
+            ledger,
+            limits);
+    checkPools(root, manifest);
+    return manifest;
+  }
+
+  private static Objective objective(String text) {
+    return switch (text) {
+      case "waste-averse" -> Objective.WASTE_AVERSE;
+      case "crest-averse" -> Objective.CREST_AVERSE;
+      default ->
+          throw new IllegalArgumentException(
+              "\"" + text + "\" is neither waste-averse nor crest-averse");
+    };
+  }
+
+  private static void addRegion(
+      TomlSection s, List<Region> regions, ManifestReferences references) {
+    RegionId id = s.required("name", RegionId::new);
+    List<ZoneId> zones = s.list("zones", ZoneId::new);
+    if (zones.isEmpty()) {
+      s.finding("missing_key", "zones", "the region has no availability zone", "add zones");
+    }
+    if (id != null) {
+      references.define(s, "region", "name", id.value());
+      zones.forEach(z -> references.define(s, "zone", "zones", z.value()));
+      regions.add(new Region(id, zones));
+    }
+    s.rejectUnknownKeys();
+  }
+
+  private static CrossRegionLink readLink(TomlSection s) {
+    CrossRegionLink link =
+        new CrossRegionLink(
+            s.integer("cross_region_bytes_per_second", 0, MAX_RATE, 0),
+            s.number("cross_region_budget_fraction", 0, 1, 0.5));
+    s.rejectUnknownKeys();
+    return link;
+  }
+
+  private static void addWorkspace(
+      TomlSection s, List<Workspace> workspaces, ManifestReferences references) {
+    WorkspaceId id = s.required("name", WorkspaceId::new);
+    List<String> keys = s.list("api_keys_sha256", ManifestParser::digest);
+    double weight = s.number("weight", 0.001, 1000, 1);
+    double rate = s.number("requests_per_second", 0, 1_000_000, 1_000_000);
+    long concurrent = s.integer("max_concurrent", 1, 1_000_000, 1_000_000);
+    if (id != null) {
+      references.define(s, "workspace", "name", id.value());
+      keys.forEach(k -> references.define(s, "API key", "api_keys_sha256", k));
+      workspaces.add(new Workspace(id, keys, weight, rate, (int) concurrent));
+    }
+    s.rejectUnknownKeys();
+  }
+
+  private static String digest(String text) {
+    if (!text.matches("[0-9a-f]{64}")) {
+      throw new IllegalArgumentException("must be SHA-256 digests of 64 hexadecimal digits");
+    }
+    return text;
+  }
+
+  private static void addModel(TomlSection s, List<Model> models, ManifestReferences references) {
+    ModelId id = s.required("name", ModelId::new);
+    Duration firstToken = millis(s, "first_token_target_ms", 900);
+    Duration gap = millis(s, "token_gap_target_ms", 68);
+    long maxPrompt = s.integer("max_prompt_tokens", 1, 10_000_000, 32_768);
+    long kvBytes = s.integer("kv_bytes_per_token", 1, 1_000_000_000, 131_072);
+    if (id != null) {
+      references.define(s, "model", "name", id.value());
+      models.add(new Model(id, firstToken, gap, (int) maxPrompt, kvBytes));
+    }
+    s.rejectUnknownKeys();
+  }
+
+  private static Duration millis(TomlSection s, String key, long defaultMillis) {
+    return Duration.ofMillis(s.integer(key, 1, MAX_MILLIS, defaultMillis));
+  }
+
+  private static void addUpstream(
+      TomlSection s, List<Upstream> upstreams, ManifestReferences references) {
+    UpstreamId id = s.required("name", UpstreamId::new);
+    boolean engine = Boolean.TRUE.equals(s.required("kind", ManifestParser::isEngine));
+    UpstreamRole role =
+        engine ? s.required("role", ManifestParser::role) : UpstreamRole.APPLICATION;
+    ModelId model = engine ? s.required("model", ModelId::new) : null;
+    ZoneId zone = s.required("zone", ZoneId::new);
+    URI url = s.required("url", ManifestParser::url);
+    long slots = s.integer("slots", 1, 100_000, engine ? 20 : 100);
+    boolean prefills = role != null && role.prefills();
+    long rate = prefills ? s.requiredInteger("prefill_tokens_per_second", 1, 100_000_000) : 0;
+    long pieces = engine ? s.integer("memory_pieces", 1, 1_000_000, 400) : 0;
+    boolean fencing = s.bool("checks_fencing", false);
+    boolean leaving = s.bool("leaving", false);
+    if (id != null) {
+      references.define(s, "upstream", "name", id.value());
+    }
+    references.check(s, "zone", "zone", zone == null ? null : zone.value());
+    references.check(s, "model", "model", model == null ? null : model.value());
+    if (id != null && role != null && zone != null && url != null) {
+      upstreams.add(
+          new Upstream(
+              id, role, model, zone, url, (int) slots, (int) rate, (int) pieces, fencing, leaving));
+    }
+    s.rejectUnknownKeys();
+  }
+
+  private static boolean isEngine(String kind) {
+    return switch (kind) {
+      case "engine" -> true;
+      case "application" -> false;
+      default ->
+          throw new IllegalArgumentException("\"" + kind + "\" is neither engine nor application");
+    };
+  }
+
+  private static UpstreamRole role(String role) {
+    return switch (role) {
+      case "prefill" -> UpstreamRole.PREFILL;
+      case "decode" -> UpstreamRole.DECODE;
+      case "mixed" -> UpstreamRole.MIXED;
+      default ->
+          throw new IllegalArgumentException("\"" + role + "\" is not prefill, decode or mixed");
+    };
+  }
+
+  private static URI url(String text) {
+    URI uri = URI.create(text);
+    String scheme = String.valueOf(uri.getScheme());
+    if (uri.getHost() == null || !(scheme.equals("http") || scheme.equals("https"))) {
+      throw new IllegalArgumentException("\"" + text + "\" is not an http or https URL");
+    }
+    return uri;
+  }
+
+  private static void addRoute(TomlSection s, List<Route> routes, ManifestReferences references) {
+    String path = s.required("path", ManifestParser::path);
+    Set<String> methods = new TreeSet<>();
+    s.strings("methods").forEach(m -> methods.add(m.toUpperCase(Locale.ROOT)));
+    List<UpstreamId> upstreams = s.list("upstreams", UpstreamId::new);
+    upstreams.forEach(u -> references.check(s, "upstream", "upstreams", u.value()));
+    boolean idempotent = s.bool("idempotent", false);
+    @Nullable String outcomePath = s.optional("outcome_path", ManifestParser::path);
+    if (methods.isEmpty()) {
+      s.finding("missing_key", "methods", "the route has no methods", "add methods");
+    }
+    if (upstreams.isEmpty()) {
+      s.finding("missing_key", "upstreams", "the route has no upstreams", "add upstreams");
+    }
+    if (path != null) {
+      methods.forEach(m -> references.define(s, "route", "path", m + " " + path));
+      routes.add(new Route(path, methods, upstreams, idempotent, outcomePath));
+    }
+    s.rejectUnknownKeys();
+  }
+
+  private static String path(String text) {
+    if (!text.startsWith("/") || text.startsWith("/v1/")) {
+      throw new IllegalArgumentException(
+          "\"" + text + "\" must start with a slash and must not lie under /v1/");
+    }
+    return text;
+  }
+
+  private static LedgerPolicy readLedger(TomlSection s) {
+    LedgerPolicy policy =
+        new LedgerPolicy(
+            Duration.ofHours(s.integer("retention_hours", 1, 168, 24)),
+            (int) s.integer("writes_per_second", 1, 100_000, 300));
+    s.rejectUnknownKeys();
+    return policy;
+  }
+
+  private static Limits readLimits(TomlSection s) {
+    Limits limits =
+        new Limits(
+            s.number("retry_budget_fraction", 0, 1, 0.1),
+            s.number("hedge_budget_fraction", 0, 1, 0.02));
+    s.rejectUnknownKeys();
+    return limits;
+  }
+
+  /** A model without a prefill and a decode engine in one region could never answer. */
+  private static void checkPools(TomlSection root, Manifest manifest) {
+    for (Model model : manifest.models()) {
+      boolean served =
+          manifest.regions().stream()
+              .anyMatch(
+                  r ->
+                      has(manifest, model, r, UpstreamRole::prefills)
+                          && has(manifest, model, r, UpstreamRole::decodes));
+      if (!served) {
+        root.finding(
+            "model_without_engines",
+            "model",
+            "model \"" + model.id() + "\" has no region with both a prefill and a decode engine",
+            "add engines for it or remove the model");
+      }
+    }
+  }
+
+  private static boolean has(
+      Manifest manifest, Model model, Region region, Predicate<UpstreamRole> role) {
+    return manifest.upstreams().stream()
+        .anyMatch(
+            u ->
+                model.id().equals(u.model())
+                    && role.test(u.role())
+                    && !u.leaving()
+                    && region.zones().contains(u.zone()));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/mustardlatch/core/toml/TomlSection.java
@@ -0,0 +1,265 @@
+package org.mustardlatch.core.toml;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Function;
+import org.jspecify.annotations.Nullable;
+import org.tomlj.Toml;
+import org.tomlj.TomlArray;
+import org.tomlj.TomlParseResult;
+import org.tomlj.TomlPosition;
+import org.tomlj.TomlTable;
+
+/**
+ * One table of a TOML file. Each read of a key checks its type and range; a fault becomes a finding
+ * and the read returns a fallback, so that all faults of a file are found in one pass.
+ */
+public final class TomlSection {
+  private final String name;
+  private final TomlTable table;
+  private final @Nullable TomlPosition position;
+  private final TomlFindings findings;
+  private final Set<String> known = new HashSet<>();
+
+  private TomlSection(
+      String name, TomlTable table, @Nullable TomlPosition position, TomlFindings findings) {
+    this.name = name;
+    this.table = table;
+    this.position = position;
+    this.findings = findings;
+  }
+
+  /** Reads a whole file; syntax errors become findings with the code {@code toml_syntax}. */
+  public static TomlSection parse(String text, TomlFindings findings) {
+    TomlParseResult result = Toml.parse(text);
+    result
+        .errors()
+        .forEach(
+            e ->
+                findings.add(
+                    "toml_syntax",
+                    e.position(),
+                    String.valueOf(e.getMessage()),
+                    "correct the TOML syntax"));
+    return new TomlSection("file", result, TomlPosition.positionAt(1, 1), findings);
+  }
+
+  /** Returns where a key stands, or where the table starts when the key is absent. */
+  public @Nullable TomlPosition positionOf(String key) {
+    TomlPosition p = table.inputPositionOf(List.of(key));
+    return p == null ? position : p;
+  }
+
+  /** Returns whether the key is present. */
+  public boolean has(String key) {
+    return table.contains(List.of(key));
+  }
+
+  /** Adds a finding at a key. */
+  public void finding(String code, String key, String message, String remedy) {
+    findings.add(code, positionOf(key), message, remedy);
+  }
+
+  /** Reads a table; an absent one counts as empty. */
+  public TomlSection section(String key) {
+    Object value = value(key);
+    if (value instanceof TomlTable t) {
+      return new TomlSection(key, t, positionOf(key), findings);
+    }
+    if (value != null) {
+      wrongType(key, "a table");
+    }
+    return new TomlSection(key, Toml.parse(""), position, findings);
+  }
+
+  /** Reads an array of tables; an absent one counts as empty. */
+  public List<TomlSection> sections(String key) {
+    Object value = value(key);
+    List<TomlSection> sections = new ArrayList<>();
+    if (value == null) {
+      return sections;
+    }
+    if (!(value instanceof TomlArray array)) {
+      wrongType(key, "an array of tables");
+      return sections;
+    }
+    for (int i = 0; i < array.size(); i++) {
+      if (array.get(i) instanceof TomlTable t) {
+        sections.add(new TomlSection(key, t, array.inputPositionOf(i), findings));
+      } else {
+        wrongType(key, "an array of tables");
+      }
+    }
+    return sections;
+  }
+
+  /** Reads a string that must be there; returns an empty string after a finding. */
+  public String requiredString(String key) {
+    String value = string(key, "");
+    if (!has(key)) {
+      missing(key);
+    }
+    return value;
+  }
+
+  /** Reads a string, or returns the default when it is absent. */
+  public String string(String key, String defaultValue) {
+    Object value = value(key);
+    if (value == null) {
+      return defaultValue;
+    }
+    if (value instanceof String s) {
+      return s;
+    }
+    wrongType(key, "a string");
+    return defaultValue;
+  }
+
+  /** Reads a string that must be there and converts it; null after a finding. */
+  public <T> @Nullable T required(String key, Function<String, T> conversion) {
+    String text = requiredString(key);
+    return has(key) ? convert(key, text, conversion) : null;
+  }
+
+  /** Reads a string and converts it; null when it is absent or after a finding. */
+  public <T> @Nullable T optional(String key, Function<String, T> conversion) {
+    String text = string(key, "");
+    return has(key) ? convert(key, text, conversion) : null;
+  }
+
+  /** Reads an array of strings; an absent one counts as empty. */
+  public List<String> strings(String key) {
+    Object value = value(key);
+    List<String> strings = new ArrayList<>();
+    if (value == null) {
+      return strings;
+    }
+    if (!(value instanceof TomlArray array)) {
+      wrongType(key, "an array of strings");
+      return strings;
+    }
+    for (int i = 0; i < array.size(); i++) {
+      if (array.get(i) instanceof String s) {
+        strings.add(s);
+      } else {
+        wrongType(key, "an array of strings");
+      }
+    }
+    return strings;
+  }
+
+  /** Reads an array of strings and converts each; elements with a fault are left out. */
+  public <T> List<T> list(String key, Function<String, T> conversion) {
+    List<T> values = new ArrayList<>();
+    for (String s : strings(key)) {
+      T value = convert(key, s, conversion);
+      if (value != null) {
+        values.add(value);
+      }
+    }
+    return values;
+  }
+
+  /** Reads an integer that must be there and lie in the range; returns min after a finding. */
+  public long requiredInteger(String key, long min, long max) {
+    if (!has(key)) {
+      known.add(key);
+      missing(key);
+      return min;
+    }
+    return integer(key, min, max, min);
+  }
+
+  /** Reads an integer in the range, or returns the default when it is absent. */
+  public long integer(String key, long min, long max, long defaultValue) {
+    Object value = value(key);
+    if (value == null) {
+      return defaultValue;
+    }
+    if (!(value instanceof Long n)) {
+      wrongType(key, "an integer");
+      return defaultValue;
+    }
+    if (n < min || n > max) {
+      outOfRange(key, n, min, max);
+      return defaultValue;
+    }
+    return n;
+  }
+
+  /** Reads a number in the range, or returns the default when it is absent. */
+  public double number(String key, double min, double max, double defaultValue) {
+    Object value = value(key);
+    if (value == null) {
+      return defaultValue;
+    }
+    if (!(value instanceof Number n)) {
+      wrongType(key, "a number");
+      return defaultValue;
+    }
+    double d = n.doubleValue();
+    if (!(d >= min && d <= max)) {
+      outOfRange(key, n, min, max);
+      return defaultValue;
+    }
+    return d;
+  }
+
+  /** Reads a boolean, or returns the default when it is absent. */
+  public boolean bool(String key, boolean defaultValue) {
+    Object value = value(key);
+    if (value == null) {
+      return defaultValue;
+    }
+    if (value instanceof Boolean b) {
+      return b;
+    }
+    wrongType(key, "true or false");
+    return defaultValue;
+  }
+
+  /** Adds a finding for every key that was not read. */
+  public void rejectUnknownKeys() {
+    for (String key : table.keySet()) {
+      if (!known.contains(key)) {
+        finding(
+            "unknown_key",
+            key,
+            "unknown key \"" + key + "\" in " + name,
+            "remove it or correct its spelling");
+      }
+    }
+  }
+
+  private @Nullable Object value(String key) {
+    known.add(key);
+    return table.get(List.of(key));
+  }
+
+  private <T> @Nullable T convert(String key, String text, Function<String, T> conversion) {
+    try {
+      return conversion.apply(text);
+    } catch (IllegalArgumentException e) {
+      finding("invalid_value", key, key + ": " + e.getMessage(), "correct the value");
+      return null;
+    }
+  }
+
+  private void missing(String key) {
+    finding("missing_key", key, "key \"" + key + "\" is missing in " + name, "add it");
+  }
+
+  private void wrongType(String key, String expected) {
+    finding("wrong_type", key, key + " must be " + expected, "correct the value");
+  }
+
+  private void outOfRange(String key, Number value, Number min, Number max) {
+    finding(
+        "out_of_range",
+        key,
+        key + " is " + value + ", must be from " + min + " to " + max,
+        "choose a value in the range");
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/mustardlatch/core/toml/package-info.java
@@ -0,0 +1,5 @@
+/** Reads TOML tables key by key and collects every fault with its line and column. */
+@NullMarked
+package org.mustardlatch.core.toml;
+
+import org.jspecify.annotations.NullMarked;
