--- /dev/null
+++ b/cli/src/main/java/org/mustardlatch/cli/DrainCommand.java
@@ -0,0 +1,16 @@
+package org.mustardlatch.cli;
+
+import org.kohsuke.args4j.Option;
+
+/** Asks a daemon for a graceful stop. */
+public final class DrainCommand implements Command {
+  @Option(name = "--node", metaVar = "URL", usage = "operator address of the daemon")
+  String node = OperatorClient.DEFAULT_NODE;
+
+  @Override
+  public int run(Console console) {
+    new OperatorClient(node).drain();
+    console.out().println("draining; the daemon exits when its last request has ended");
+    return ExitCode.OK;
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/mustardlatch/cli/ExitCode.java
@@ -0,0 +1,18 @@
+package org.mustardlatch.cli;
+
+/** Exit codes of the command-line tool. */
+final class ExitCode {
+  /** The command did what it was asked to do. */
+  static final int OK = 0;
+
+  /** The command was refused or failed; nothing was changed. */
+  static final int FAILED = 1;
+
+  /** The command line is wrong. */
+  static final int USAGE = 2;
+
+  /** The command may or may not have taken effect. */
+  static final int UNKNOWN = 3;
+
+  private ExitCode() {}
+}
--- /dev/null
+++ b/cli/src/main/java/org/mustardlatch/cli/Main.java
@@ -0,0 +1,76 @@
+package org.mustardlatch.cli;
+
+import java.io.PrintStream;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.ParserProperties;
+import org.mustardlatch.core.error.MustardlatchException;
+
+/** Entry point of the command-line tool. */
+public final class Main {
+  private static final ParserProperties WIDE = ParserProperties.defaults().withUsageWidth(100);
+
+  private Main() {}
+
+  /** Runs one command and exits with its code, see {@link ExitCode}. */
+  public static void main(String[] args) {
+    System.exit(run(args, System.out, System.err));
+  }
+
+  /**
+   * Runs one command.
+   *
+   * @param args the command line
+   * @param out receives results
+   * @param err receives errors, each with a code, a place and a remedy
+   * @return the exit code, see {@link ExitCode}
+   */
+  static int run(String[] args, PrintStream out, PrintStream err) {
+    MainOptions options = new MainOptions();
+    CmdLineParser parser = new CmdLineParser(options, WIDE);
+    try {
+      parser.parseArgument(args);
+    } catch (CmdLineException e) {
+      err.println("error usage at command line: " + e.getMessage());
+      err.println("remedy: run \"mustardlatch --help\"");
+      return ExitCode.USAGE;
+    }
+    if (options.help) {
+      printHelp(parser, out);
+      return ExitCode.OK;
+    }
+    if (options.version) {
+      out.println("mustardlatch " + Version.current());
+      return ExitCode.OK;
+    }
+    if (options.command == null) {
+      printHelp(parser, err);
+      return ExitCode.USAGE;
+    }
+    return runCommand(options.command, new Console(out, err));
+  }
+
+  private static int runCommand(Command command, Console console) {
+    try {
+      return command.run(console);
+    } catch (MustardlatchException e) {
+      console.error(e.code().wireName(), "command", String.valueOf(e.getMessage()), "see above");
+      return ExitCode.FAILED;
+    } catch (OperatorApiException e) {
+      console.error(e.code(), e.place(), String.valueOf(e.getMessage()), e.remedy());
+      return e.exitCode();
+    }
+  }
+
+  private static void printHelp(CmdLineParser parser, PrintStream stream) {
+    stream.println("usage: mustardlatch [--help] [--version] COMMAND [OPTIONS]");
+    stream.println();
+    for (CommandName name : CommandName.values()) {
+      stream.printf("  %-44s %s%n", name.synopsis(), name.summary());
+    }
+    stream.println();
+    stream.println("exit codes: 0 done, 1 refused or failed, 2 usage, 3 outcome unknown");
+    stream.println();
+    parser.printUsage(stream);
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/mustardlatch/cli/Version.java
@@ -0,0 +1,14 @@
+package org.mustardlatch.cli;
+
+/** Version of this program. */
+final class Version {
+  private static final String DEVELOPMENT = "0.1.0";
+
+  private Version() {}
+
+  /** Returns the version of the jar, or the development version when run from class files. */
+  static String current() {
+    String version = Version.class.getPackage().getImplementationVersion();
+    return version == null ? DEVELOPMENT : version;
+  }
+}
--- a/cli/src/main/java/org/mustardlatch/cli/package-info.java
+++ b/cli/src/main/java/org/mustardlatch/cli/package-info.java
@@ -1,4 +1,4 @@
-/** Placeholder. */
+/** mustardlatch, the command-line tool for operators. */
 @NullMarked
 package org.mustardlatch.cli;
 
