Add stand-ins for engines and the request path of the daemon

The daemon had no way from a caller to an engine. A request now passes accept, authenticate, limit, classify, dispatch and stream, each in a class of its own; the routing policy runs on one event loop and its commands go to engines by OkHttp.

--- /dev/null
+++ b/daemon/src/main/java/org/mustardlatch/daemon/Daemon.java
@@ -0,0 +1,137 @@
+package org.mustardlatch.daemon;
+
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import org.mustardlatch.core.routing.RoutingEvent;
+import org.mustardlatch.core.routing.RoutingPolicy;
+import org.mustardlatch.core.settings.Settings;
+import org.mustardlatch.daemon.caller.CallerApi;
+import org.mustardlatch.daemon.log.EventLog;
+import org.mustardlatch.daemon.log.LogEvent;
+import org.mustardlatch.daemon.node.AppliedManifest;
+import org.mustardlatch.daemon.node.EventLoop;
+import org.mustardlatch.daemon.node.ManifestInForce;
+import org.mustardlatch.daemon.node.Membership;
+import org.mustardlatch.daemon.node.NodeState;
+import org.mustardlatch.daemon.operator.LocalPublisher;
+import org.mustardlatch.daemon.operator.NodeViews;
+import org.mustardlatch.daemon.operator.OperatorApi;
+import org.mustardlatch.daemon.operator.RequestMetrics;
+import org.mustardlatch.daemon.routing.RoutingService;
+import org.mustardlatch.daemon.upstream.EngineCalls;
+import org.mustardlatch.daemon.upstream.Owner;
+import org.mustardlatch.daemon.upstream.UpstreamHosts;
+
+/** One node: puts the services together, starts and stops them. */
+public final class Daemon {
+  private static final Duration DRAIN_POLL = Duration.ofMillis(20);
+
+  private final Settings settings;
+  private final NodeState state = new NodeState();
+  private final EventLoop loop = new EventLoop("routing");
+  private final ExecutorService calls = Executors.newVirtualThreadPerTaskExecutor();
+  private final ManifestInForce manifest = new ManifestInForce();
+  private final UpstreamHosts hosts = new UpstreamHosts();
+  private final Membership members;
+  private final RoutingService routing;
+  private final CallerApi callers;
+  private final OperatorApi operators;
+  private final CountDownLatch drained = new CountDownLatch(1);
+
+  /**
+   * Creates a node that is not started.
+   *
+   * @param policy the routing decisions; used by one thread only
+   */
+  public Daemon(Settings settings, RoutingPolicy policy) {
+    this.settings = settings;
+    this.members = new SingleNode(settings);
+    PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    RequestMetrics metrics = new RequestMetrics(registry);
+    Owner owner = new Owner(settings.host(), members::incarnation);
+    EngineCalls engines =
+        new EngineCalls(hosts, manifest, loop, calls, owner, event -> post(event));
+    this.routing = new RoutingService(loop, policy, engines, (to, message) -> {});
+    this.callers = new CallerApi(settings.callerAddress(), state, manifest, routing, metrics);
+    this.operators =
+        new OperatorApi(
+            settings.operatorAddress(),
+            state,
+            manifest,
+            new NodeViews(settings, state, manifest, members, routing, engines),
+            new LocalPublisher(manifest),
+            this::drain,
+            registry);
+  }
+
+  /** Starts all services. The node is ready when a manifest is in force. */
+  public void start() {
+    EventLog.log(LogEvent.DAEMON_STARTING, settings.host(), settings.zone(), members.incarnation());
+    var unused = manifest.changes().subscribe(this::apply);
+    post(new RoutingEvent.MembersChanged(members.live()));
+    operators.start();
+    callers.start();
+  }
+
+  /** Begins a graceful stop; returns at once. {@link #awaitDrained} tells when it is over. */
+  public void drain() {
+    if (state.enter(NodeState.Phase.DRAINING)) {
+      EventLog.log(LogEvent.DAEMON_DRAINING, routing.inProgress());
+      loop.schedule(settings.drainDelay(), this::refuse);
+    }
+  }
+
+  /** Blocks until a graceful stop has let the last request finish. */
+  public void awaitDrained() throws InterruptedException {
+    drained.await();
+  }
+
+  /** Closes all listeners and connections. */
+  public void stop() {
+    state.enter(NodeState.Phase.STOPPED);
+    callers.stop();
+    operators.stop();
+    loop.stop();
+    calls.shutdownNow();
+  }
+
+  /** Returns the port for callers. */
+  public int callerPort() {
+    return callers.port();
+  }
+
+  /** Returns the port for operators. */
+  public int operatorPort() {
+    return operators.port();
+  }
+
+  private void refuse() {
+    state.enter(NodeState.Phase.REFUSING);
+    post(new RoutingEvent.DrainRequested());
+    awaitLast();
+  }
+
+  private void awaitLast() {
+    if (callers.inProgress() == 0) {
+      drained.countDown();
+    } else {
+      loop.schedule(DRAIN_POLL, this::awaitLast);
+    }
+  }
+
+  private void apply(AppliedManifest applied) {
+    hosts.apply(applied.manifest());
+    post(new RoutingEvent.ManifestApplied(applied.revision(), applied.manifest()));
+    if (state.enter(NodeState.Phase.READY)) {
+      EventLog.log(LogEvent.DAEMON_READY, applied.revision());
+    }
+  }
+
+  private void post(RoutingEvent event) {
+    routing.post(event);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/mustardlatch/daemon/caller/CallerConnection.java
@@ -0,0 +1,48 @@
+package org.mustardlatch.daemon.caller;
+
+import io.javalin.http.Context;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import org.eclipse.jetty.ee10.servlet.ServletContextRequest;
+import org.eclipse.jetty.io.Connection;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.util.BufferUtil;
+
+/**
+ * Tells whether the caller of a request in progress has closed its connection. Jetty reads nothing
+ * between the end of a request and its answer, so a caller that leaves before the first token would
+ * be noticed only by a failed write. Must be used on the thread of the request's handler, because
+ * Jetty itself reads from the connection once the handler has returned.
+ */
+final class CallerConnection {
+  private static final int PEEK_BYTES = 64;
+
+  private final EndPoint endPoint;
+  private final Connection connection;
+
+  CallerConnection(Context ctx) {
+    connection =
+        ServletContextRequest.getServletContextRequest(ctx.req())
+            .getConnectionMetaData()
+            .getConnection();
+    endPoint = connection.getEndPoint();
+  }
+
+  /** Returns whether the connection is closed by the caller or broken; does not block. */
+  boolean isGone() {
+    if (!endPoint.isOpen() || endPoint.isInputShutdown()) {
+      return true;
+    }
+    ByteBuffer peek = BufferUtil.allocate(PEEK_BYTES);
+    try {
+      int filled = endPoint.fill(peek);
+      if (filled > 0 && connection instanceof Connection.UpgradeTo reader) {
+        // Bytes of a next request on the same connection; the parser must see them later.
+        reader.onUpgradeTo(peek);
+      }
+      return filled < 0;
+    } catch (IOException e) {
+      return true;
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/mustardlatch/daemon/caller/ErrorAnswer.java
@@ -0,0 +1,40 @@
+package org.mustardlatch.daemon.caller;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.javalin.http.Context;
+import java.time.Duration;
+import org.mustardlatch.core.error.ErrorCode;
+import org.mustardlatch.core.error.MustardlatchException;
+
+/** Writes errors in the form that OpenAI clients understand. */
+public final class ErrorAnswer {
+  private static final int SERVER_ERROR = 500;
+
+  private ErrorAnswer() {}
+
+  /** Writes an error as the whole answer, with {@code Retry-After} where coming back is of use. */
+  public static void write(Context ctx, MustardlatchException error) {
+    if (error instanceof RefusedException refused && !refused.retryAfter().isZero()) {
+      ctx.header("Retry-After", Long.toString(seconds(refused.retryAfter())));
+    }
+    ctx.status(error.code().httpStatus())
+        .contentType("application/json")
+        .result(body(error.code(), String.valueOf(error.getMessage())));
+  }
+
+  /** Returns the JSON text of an error. */
+  public static String body(ErrorCode code, String message) {
+    ObjectNode body = JsonNodeFactory.instance.objectNode();
+    body.putObject("error")
+        .put("message", message)
+        .put("type", code.httpStatus() < SERVER_ERROR ? "invalid_request_error" : "server_error")
+        .put("code", code.wireName());
+    return body.toString();
+  }
+
+  /** Rounds up, so that nobody comes back too early. */
+  private static long seconds(Duration duration) {
+    return Math.max(1, duration.plusMillis(999).toSeconds());
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/mustardlatch/daemon/caller/RefusedException.java
@@ -0,0 +1,21 @@
+package org.mustardlatch.daemon.caller;
+
+import java.time.Duration;
+import org.mustardlatch.core.error.ErrorCode;
+import org.mustardlatch.core.error.MustardlatchException;
+
+/** An error for a caller that may come back later. */
+final class RefusedException extends MustardlatchException {
+  private static final long serialVersionUID = 1L;
+
+  private final transient Duration retryAfter;
+
+  RefusedException(ErrorCode code, String message, Duration retryAfter) {
+    super(code, message);
+    this.retryAfter = retryAfter;
+  }
+
+  Duration retryAfter() {
+    return retryAfter;
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/mustardlatch/daemon/caller/WorkspaceLimits.java
@@ -0,0 +1,41 @@
+package org.mustardlatch.daemon.caller;
+
+import java.time.Duration;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.mustardlatch.core.error.ErrorCode;
+import org.mustardlatch.core.manifest.Workspace;
+import org.mustardlatch.core.model.WorkspaceId;
+
+/** Limits the requests that a workspace has in progress on this node. */
+final class WorkspaceLimits {
+  private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+
+  private final ConcurrentMap<WorkspaceId, AtomicInteger> inProgress = new ConcurrentHashMap<>();
+
+  /**
+   * Takes a place; it must be given back by closing it.
+   *
+   * @throws RefusedException with {@link ErrorCode#RATE_LIMITED} when none is free
+   */
+  Place enter(Workspace workspace) {
+    AtomicInteger count = inProgress.computeIfAbsent(workspace.id(), id -> new AtomicInteger());
+    if (count.incrementAndGet() > workspace.maxConcurrent()) {
+      count.decrementAndGet();
+      throw new RefusedException(
+          ErrorCode.RATE_LIMITED,
+          "not run: workspace \"%s\" has %d requests in progress"
+              .formatted(workspace.id(), workspace.maxConcurrent()),
+          RETRY_AFTER);
+    }
+    return count::decrementAndGet;
+  }
+
+  /** A place for one request. */
+  @FunctionalInterface
+  interface Place extends AutoCloseable {
+    @Override
+    void close();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/mustardlatch/daemon/node/EventLoop.java
@@ -0,0 +1,77 @@
+package org.mustardlatch.daemon.node;
+
+import java.time.Duration;
+import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import org.mustardlatch.core.time.TimerService;
+import org.mustardlatch.core.time.TimerSubscription;
+import org.mustardlatch.daemon.log.EventLog;
+import org.mustardlatch.daemon.log.LogEvent;
+
+/**
+ * The timer service of the daemon. All tasks run on one thread, in the order in which they become
+ * due, so that state that only tasks touch needs no locks.
+ */
+public final class EventLoop implements TimerService, Executor {
+  private final ScheduledThreadPoolExecutor executor;
+
+  /** Creates the loop and its thread. */
+  public EventLoop(String name) {
+    executor =
+        new ScheduledThreadPoolExecutor(1, Thread.ofPlatform().daemon().name(name).factory());
+    executor.setRemoveOnCancelPolicy(true);
+  }
+
+  @Override
+  public long nanos() {
+    return System.nanoTime();
+  }
+
+  /** Runs a task on the loop's thread as soon as possible; does nothing after {@link #stop}. */
+  @Override
+  public void execute(Runnable task) {
+    try {
+      executor.execute(guarded(task));
+    } catch (RejectedExecutionException e) {
+      // The loop has stopped; what is left concerns requests whose connections are closed.
+    }
+  }
+
+  @Override
+  public TimerSubscription schedule(Duration delay, Runnable task) {
+    try {
+      ScheduledFuture<?> future =
+          executor.schedule(guarded(task), Math.max(0, delay.toNanos()), TimeUnit.NANOSECONDS);
+      return () -> future.cancel(false);
+    } catch (RejectedExecutionException e) {
+      return () -> {};
+    }
+  }
+
+  @Override
+  public TimerSubscription every(Duration period, Runnable task) {
+    ScheduledFuture<?> future =
+        executor.scheduleWithFixedDelay(
+            guarded(task), period.toNanos(), period.toNanos(), TimeUnit.NANOSECONDS);
+    return () -> future.cancel(false);
+  }
+
+  /** Ends the thread; tasks that wait are dropped. */
+  public void stop() {
+    executor.shutdownNow();
+  }
+
+  /** An exception must not end a repeated task, so it is logged here. */
+  private static Runnable guarded(Runnable task) {
+    return () -> {
+      try {
+        task.run();
+      } catch (RuntimeException e) {
+        EventLog.log(LogEvent.UNEXPECTED_ERROR, "event loop", e);
+      }
+    };
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/mustardlatch/daemon/operator/NodeViews.java
@@ -0,0 +1,79 @@
+package org.mustardlatch.daemon.operator;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import org.mustardlatch.core.model.RequestId;
+import org.mustardlatch.core.settings.Settings;
+import org.mustardlatch.daemon.node.ManifestInForce;
+import org.mustardlatch.daemon.node.Membership;
+import org.mustardlatch.daemon.node.NodeState;
+import org.mustardlatch.daemon.routing.ExplainLog;
+import org.mustardlatch.daemon.routing.RoutingService;
+import org.mustardlatch.daemon.upstream.EngineCalls;
+
+/** What operators see of the state of a node. */
+public final class NodeViews {
+  private final Settings settings;
+  private final NodeState state;
+  private final ManifestInForce manifest;
+  private final Membership members;
+  private final RoutingService routing;
+  private final EngineCalls engines;
+
+  /** Creates views of the given parts. */
+  public NodeViews(
+      Settings settings,
+      NodeState state,
+      ManifestInForce manifest,
+      Membership members,
+      RoutingService routing,
+      EngineCalls engines) {
+    this.settings = settings;
+    this.state = state;
+    this.manifest = manifest;
+    this.members = members;
+    this.routing = routing;
+    this.engines = engines;
+  }
+
+  /** Returns the summary. */
+  ObjectNode status() {
+    ObjectNode status = JsonNodeFactory.instance.objectNode();
+    status.put("host", settings.host().value());
+    status.put("region", settings.region().value()).put("zone", settings.zone().value());
+    status.put("incarnation", members.incarnation());
+    status.put("phase", state.phase().name().toLowerCase(java.util.Locale.ROOT));
+    status.put("ready", state.phase() == NodeState.Phase.READY);
+    status.put("revision", manifest.revision());
+    manifest.current().ifPresent(m -> status.put("digest", m.digest()));
+    status.put("requests_in_progress", routing.inProgress());
+    ArrayNode list = status.putArray("members");
+    members
+        .live()
+        .forEach(
+            m ->
+                list.addObject()
+                    .put("host", m.host().value())
+                    .put("region", m.region().value())
+                    .put("zone", m.zone().value())
+                    .put("incarnation", m.incarnation()));
+    return status;
+  }
+
+  /** Returns the whole state. */
+  ObjectNode dump() {
+    ObjectNode dump = status();
+    dump.put("engine_calls_in_progress", engines.inProgress());
+    ArrayNode requests = dump.putArray("requests");
+    routing.requests().forEach(id -> requests.add(id.value()));
+    manifest.current().ifPresent(m -> dump.put("manifest", m.text()));
+    return dump;
+  }
+
+  /** Returns the decisions about a request. */
+  List<ExplainLog.Entry> explain(RequestId request) {
+    return routing.explanations().find(request);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/mustardlatch/daemon/operator/OperatorApi.java
@@ -0,0 +1,171 @@
+package org.mustardlatch.daemon.operator;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.javalin.config.RoutesConfig;
+import io.javalin.http.Context;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.util.List;
+import org.mustardlatch.core.error.ErrorCode;
+import org.mustardlatch.core.error.MustardlatchException;
+import org.mustardlatch.core.model.RequestId;
+import org.mustardlatch.core.settings.SocketAddress;
+import org.mustardlatch.daemon.log.EventLog;
+import org.mustardlatch.daemon.log.LogEvent;
+import org.mustardlatch.daemon.node.HttpServer;
+import org.mustardlatch.daemon.node.ManifestInForce;
+import org.mustardlatch.daemon.node.NodeState;
+import org.mustardlatch.daemon.routing.ExplainLog;
+
+/** The HTTP interface for operators. */
+public final class OperatorApi {
+  private final NodeState state;
+  private final ManifestInForce manifest;
+  private final NodeViews views;
+  private final ManifestPublisher publisher;
+  private final Runnable drain;
+  private final PrometheusMeterRegistry metrics;
+  private final HttpServer server;
+
+  /**
+   * Creates the interface; it does not listen yet.
+   *
+   * @param drain begins a graceful stop and returns at once
+   */
+  public OperatorApi(
+      SocketAddress address,
+      NodeState state,
+      ManifestInForce manifest,
+      NodeViews views,
+      ManifestPublisher publisher,
+      Runnable drain,
+      PrometheusMeterRegistry metrics) {
+    this.state = state;
+    this.manifest = manifest;
+    this.views = views;
+    this.publisher = publisher;
+    this.drain = drain;
+    this.metrics = metrics;
+    this.server = new HttpServer(address, this::routes);
+  }
+
+  /** Starts listening. */
+  public void start() {
+    server.start();
+  }
+
+  /** Stops listening and closes all connections. */
+  public void stop() {
+    server.stop();
+  }
+
+  /** Returns the port that it listens on. */
+  public int port() {
+    return server.port();
+  }
+
+  private void routes(RoutesConfig routes) {
+    routes.get("/metrics", ctx -> ctx.contentType("text/plain").result(metrics.scrape()));
+    routes.get("/healthz", ctx -> ctx.result("ok"));
+    routes.get("/readyz", this::ready);
+    routes.get("/status", ctx -> json(ctx, views.status()));
+    routes.get("/dump", ctx -> json(ctx, views.dump()));
+    routes.get("/explain/{id}", this::explain);
+    routes.get("/manifest", this::manifestText);
+    routes.post("/manifest", this::publish);
+    routes.post("/drain", this::startDrain);
+    routes.exception(MustardlatchException.class, OperatorApi::answerError);
+    routes.exception(Exception.class, OperatorApi::answerFault);
+  }
+
+  private void ready(Context ctx) {
+    if (state.phase() == NodeState.Phase.READY) {
+      ctx.result("ready");
+    } else {
+      ctx.status(ErrorCode.NOT_READY.httpStatus()).result(state.phase().name());
+    }
+  }
+
+  private void explain(Context ctx) {
+    String id = ctx.pathParam("id");
+    List<ExplainLog.Entry> entries = views.explain(new RequestId(id));
+    if (entries.isEmpty()) {
+      throw new MustardlatchException(
+          ErrorCode.UNKNOWN_REQUEST, "request " + id + " is not known on this node");
+    }
+    ObjectNode answer = JsonNodeFactory.instance.objectNode().put("request", id);
+    ArrayNode decisions = answer.putArray("decisions");
+    long first = entries.get(0).atNanos();
+    for (ExplainLog.Entry entry : entries) {
+      decisions
+          .addObject()
+          .put("after_us", (entry.atNanos() - first) / 1_000)
+          .put("rule", entry.rule())
+          .put("detail", entry.detail());
+    }
+    json(ctx, answer);
+  }
+
+  private void manifestText(Context ctx) {
+    String text =
+        manifest
+            .current()
+            .orElseThrow(
+                () -> new MustardlatchException(ErrorCode.NOT_READY, "no manifest is in force"))
+            .text();
+    ctx.contentType("application/toml").result(text);
+  }
+
+  private void publish(Context ctx) {
+    ctx.queryParamMap()
+        .keySet()
+        .forEach(
+            key -> {
+              if (!key.equals("base")) {
+                throw new MustardlatchException(
+                    ErrorCode.UNKNOWN_FIELD, "parameter \"" + key + "\" does not exist");
+              }
+            });
+    long revision = publisher.publish(ctx.body(), base(ctx));
+    json(ctx, JsonNodeFactory.instance.objectNode().put("revision", revision));
+  }
+
+  private static long base(Context ctx) {
+    String base = String.valueOf(ctx.queryParam("base"));
+    try {
+      return Long.parseUnsignedLong(base);
+    } catch (NumberFormatException e) {
+      throw new MustardlatchException(
+          ErrorCode.INVALID_ARGUMENT,
+          "parameter \"base\" must be the revision that the manifest replaces, got \"%s\""
+              .formatted(base),
+          e);
+    }
+  }
+
+  private void startDrain(Context ctx) {
+    drain.run();
+    ctx.status(202);
+    json(ctx, JsonNodeFactory.instance.objectNode().put("draining", true));
+  }
+
+  private static void json(Context ctx, ObjectNode body) {
+    ctx.contentType("application/json").result(body.toString());
+  }
+
+  private static void answerError(MustardlatchException error, Context ctx) {
+    ObjectNode body = JsonNodeFactory.instance.objectNode();
+    body.putObject("error")
+        .put("code", error.code().wireName())
+        .put("message", error.getMessage())
+        .put("remedy", "see docs/operator-guide.md for this code");
+    ctx.status(error.code().httpStatus());
+    json(ctx, body);
+  }
+
+  private static void answerFault(Exception fault, Context ctx) {
+    EventLog.log(LogEvent.UNEXPECTED_ERROR, ctx.path(), fault);
+    answerError(new MustardlatchException(ErrorCode.INTERNAL, "internal error; see the log"), ctx);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/mustardlatch/daemon/routing/AnswerSoFar.java
@@ -0,0 +1,17 @@
+package org.mustardlatch.daemon.routing;
+
+import java.util.List;
+
+/**
+ * What the caller of a request has received.
+ *
+ * @param text its text
+ * @param tokenIds its token ids; empty unless the prompt is a list of token ids
+ * @param tokens its length, tokens
+ */
+public record AnswerSoFar(String text, List<Integer> tokenIds, int tokens) {
+  /** Copies the list. */
+  public AnswerSoFar {
+    tokenIds = List.copyOf(tokenIds);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/mustardlatch/daemon/routing/Exchange.java
@@ -0,0 +1,53 @@
+package org.mustardlatch.daemon.routing;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import org.mustardlatch.core.model.RequestId;
+import org.mustardlatch.core.routing.GenerationRequest;
+
+/** A generation request in progress on its entry node. */
+public final class Exchange {
+  private final GenerationRequest request;
+  private final GenerationInput input;
+  private final ResponseSink sink;
+  private final Map<String, JsonNode> transferParameters = new ConcurrentHashMap<>();
+
+  /** Creates an exchange without attempts. */
+  public Exchange(GenerationRequest request, GenerationInput input, ResponseSink sink) {
+    this.request = request;
+    this.input = input;
+    this.sink = sink;
+  }
+
+  /** Returns the request's id. */
+  public RequestId id() {
+    return request.id();
+  }
+
+  /** Returns the request as the routing decisions see it. */
+  public GenerationRequest request() {
+    return request;
+  }
+
+  /** Returns the caller's input. */
+  public GenerationInput input() {
+    return input;
+  }
+
+  /** Returns the way to the caller. */
+  public ResponseSink sink() {
+    return sink;
+  }
+
+  /** Keeps the transfer parameters that a prefill engine returned, for the decode call. */
+  public void keepTransferParameters(String reference, JsonNode parameters) {
+    transferParameters.put(reference, parameters);
+  }
+
+  /** Returns the transfer parameters of a KV cache, or empty when its prefill did not run here. */
+  public Optional<JsonNode> transferParameters(String reference) {
+    return Optional.ofNullable(transferParameters.get(reference));
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/mustardlatch/daemon/upstream/ActiveCalls.java
@@ -0,0 +1,30 @@
+package org.mustardlatch.daemon.upstream;
+
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import org.mustardlatch.core.model.AttemptId;
+import org.mustardlatch.core.model.UpstreamId;
+
+/** The engine calls of this node that are in progress. */
+final class ActiveCalls {
+  private final Set<EngineCall> calls = ConcurrentHashMap.newKeySet();
+
+  void add(EngineCall call) {
+    calls.add(call);
+  }
+
+  void remove(EngineCall call) {
+    calls.remove(call);
+  }
+
+  /** Ends the calls of an attempt on an upstream without further events. */
+  void cancel(AttemptId attempt, UpstreamId upstream) {
+    calls.stream()
+        .filter(c -> c.attempt().equals(attempt) && c.host().id().equals(upstream))
+        .forEach(EngineCall::cancel);
+  }
+
+  int size() {
+    return calls.size();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/mustardlatch/daemon/upstream/CancelTask.java
@@ -0,0 +1,64 @@
+package org.mustardlatch.daemon.upstream;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.concurrent.Executor;
+import okhttp3.Request;
+import okhttp3.Response;
+import org.mustardlatch.core.time.TimerService;
+import org.mustardlatch.daemon.log.EventLog;
+import org.mustardlatch.daemon.log.LogEvent;
+
+/**
+ * Cancels an attempt on an engine until the engine acknowledges it. 200 and 404 both mean that the
+ * engine holds nothing of the attempt.
+ */
+final class CancelTask implements Runnable {
+  private static final Duration CALL_TIMEOUT = Duration.ofSeconds(1);
+  private static final Duration FIRST_PAUSE = Duration.ofMillis(100);
+  private static final Duration LONGEST_PAUSE = Duration.ofSeconds(5);
+
+  /** After this time the engine's list of held attempts is used instead. */
+  private static final Duration GIVE_UP_AFTER = Duration.ofSeconds(60);
+
+  private final UpstreamHost host;
+  private final String attempt;
+  private final TimerService timers;
+  private final Executor executor;
+  private final long giveUpNanos;
+  private Duration pause = FIRST_PAUSE;
+
+  CancelTask(UpstreamHost host, String attempt, TimerService timers, Executor executor) {
+    this.host = host;
+    this.attempt = attempt;
+    this.timers = timers;
+    this.executor = executor;
+    this.giveUpNanos = timers.nanos() + GIVE_UP_AFTER.toNanos();
+  }
+
+  @Override
+  public void run() {
+    if (acknowledged()) {
+      return;
+    }
+    if (timers.nanos() >= giveUpNanos) {
+      EventLog.log(LogEvent.CANCEL_NOT_ACKNOWLEDGED, host.id(), attempt);
+      return;
+    }
+    host.evictConnections();
+    timers.schedule(pause, () -> executor.execute(this));
+    Duration doubled = pause.multipliedBy(2);
+    pause = doubled.compareTo(LONGEST_PAUSE) < 0 ? doubled : LONGEST_PAUSE;
+  }
+
+  private boolean acknowledged() {
+    Request request =
+        new Request.Builder().url(host.url("/v1/requests/" + attempt)).delete().build();
+    try (Response response =
+        host.client().newBuilder().callTimeout(CALL_TIMEOUT).build().newCall(request).execute()) {
+      return response.code() == 200 || response.code() == 404;
+    } catch (IOException e) {
+      return false;
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/mustardlatch/daemon/upstream/EngineContext.java
@@ -0,0 +1,24 @@
+package org.mustardlatch.daemon.upstream;
+
+import java.util.function.Consumer;
+import org.mustardlatch.core.model.AttemptId;
+import org.mustardlatch.core.routing.RoutingEvent;
+import org.mustardlatch.core.time.TimerService;
+import org.mustardlatch.daemon.log.EventLog;
+import org.mustardlatch.daemon.log.LogEvent;
+
+/**
+ * What every engine call needs.
+ *
+ * @param timers timers
+ * @param calls calls in progress
+ * @param probe finds out what a broken call means
+ * @param events takes the events that calls produce
+ */
+record EngineContext(
+    TimerService timers, ActiveCalls calls, FailureProbe probe, Consumer<RoutingEvent> events) {
+
+  void logFailure(UpstreamHost host, AttemptId attempt, int status, String message) {
+    EventLog.log(LogEvent.UPSTREAM_ERROR, host.id(), status, attempt, message);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/mustardlatch/daemon/upstream/EngineJson.java
@@ -0,0 +1,26 @@
+package org.mustardlatch.daemon.upstream;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+
+/** Reads JSON from engines. */
+final class EngineJson {
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
+  private EngineJson() {}
+
+  /**
+   * Reads a value.
+   *
+   * @throws IOException when the text is not JSON
+   */
+  static JsonNode read(String text) throws IOException {
+    try {
+      return MAPPER.readTree(text);
+    } catch (JsonProcessingException e) {
+      throw new IOException("engine sent malformed JSON: " + e.getOriginalMessage(), e);
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/mustardlatch/daemon/upstream/UpstreamHosts.java
@@ -0,0 +1,46 @@
+package org.mustardlatch.daemon.upstream;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import okhttp3.Dispatcher;
+import okhttp3.OkHttpClient;
+import org.mustardlatch.core.manifest.Manifest;
+import org.mustardlatch.core.manifest.Upstream;
+import org.mustardlatch.core.model.UpstreamId;
+
+/**
+ * The upstreams of all manifests since the start. One that a manifest dropped is kept, because its
+ * attempts must still finish or be cancelled.
+ */
+public final class UpstreamHosts {
+  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
+
+  private final Map<UpstreamId, UpstreamHost> hosts = new ConcurrentHashMap<>();
+  private final OkHttpClient common =
+      new OkHttpClient.Builder()
+          .dispatcher(new Dispatcher())
+          .connectTimeout(CONNECT_TIMEOUT)
+          .readTimeout(Duration.ZERO)
+          .writeTimeout(Duration.ofSeconds(10))
+          .followRedirects(false)
+          .retryOnConnectionFailure(false)
+          .build();
+
+  /** Adds and replaces the upstreams of a manifest. */
+  public void apply(Manifest manifest) {
+    manifest.upstreams().forEach(this::put);
+  }
+
+  Optional<UpstreamHost> find(UpstreamId id) {
+    return Optional.ofNullable(hosts.get(id));
+  }
+
+  private void put(Upstream upstream) {
+    hosts.compute(
+        upstream.id(),
+        (id, old) ->
+            old != null && old.isAt(upstream.url()) ? old : new UpstreamHost(upstream, common));
+  }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/mustardlatch/daemon/Fleet.java
@@ -0,0 +1,134 @@
+package org.mustardlatch.daemon;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.net.URI;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.mustardlatch.core.error.ErrorCode;
+import org.mustardlatch.core.settings.Settings;
+import org.mustardlatch.core.settings.SettingsParser;
+import org.mustardlatch.standin.EngineOptions;
+import org.mustardlatch.standin.EngineStandin;
+
+/** A daemon with stand-in engines inside the test's process, on loopback ports chosen at start. */
+final class Fleet implements AutoCloseable {
+  static final String KEY = "demo-key";
+  private static final String KEY_SHA256 =
+      "c48a01f49fd0f2cc404bc3cbbc80e91457a3d41bb429a695243de4c61794155c";
+
+  private final List<EngineStandin> engines = new ArrayList<>();
+  private final StringBuilder upstreams = new StringBuilder();
+  private final Daemon daemon;
+
+  Fleet(EngineOptions... options) {
+    for (EngineOptions option : options) {
+      add(option);
+    }
+    daemon = new Daemon(settings("entry-1", 0), new DirectPolicy());
+    daemon.start();
+    publish("");
+  }
+
+  /** Publishes the engines together with more manifest text. */
+  void publish(String more) {
+    String text = manifest() + more;
+    String base = HttpCalls.get(operatorUrl("/status")).json().path("revision").asText();
+    HttpCalls.Answer answer =
+        HttpCalls.post(operatorUrl("/manifest?base=" + base), text, "application/toml");
+    assertThat(answer.toString()).startsWith("200 ");
+  }
+
+  EngineStandin engine(int index) {
+    return engines.get(index);
+  }
+
+  Daemon daemon() {
+    return daemon;
+  }
+
+  URI url(String path) {
+    return URI.create("http://127.0.0.1:" + daemon.callerPort() + path);
+  }
+
+  URI operatorUrl(String path) {
+    return URI.create("http://127.0.0.1:" + daemon.operatorPort() + path);
+  }
+
+  void awaitNothingAllocated(Duration bound) {
+    Await.until(
+        "engines hold nothing",
+        bound,
+        () -> engines.stream().allMatch(e -> e.allocations().isEmpty()));
+  }
+
+  @Override
+  public void close() {
+    daemon.stop();
+    engines.forEach(EngineStandin::stop);
+  }
+
+  private void add(EngineOptions options) {
+    EngineStandin engine = new EngineStandin(options);
+    engine.start();
+    engines.add(engine);
+    upstreams.append(
+        """
+        [[upstream]]
+        name = "%s"
+        kind = "engine"
+        role = "%s"
+        model = "wording"
+        zone = "heredia"
+        url = "%s"
+        slots = %d
+        memory_pieces = 1000
+        """
+            .formatted(options.name(), options.role(), engine.url(), options.slots()));
+    if (!options.role().equals("decode")) {
+      upstreams.append("prefill_tokens_per_second = 100_000\n");
+    }
+  }
+
+  private String manifest() {
+    return """
+    [manifest]
+    name = "test"
+    objective = "waste-averse"
+    [[region]]
+    name = "valle-central"
+    zones = ["heredia"]
+    [[workspace]]
+    name = "tinta"
+    api_keys_sha256 = ["%s"]
+    [[model]]
+    name = "wording"
+    first_token_target_ms = 900
+    token_gap_target_ms = 68
+    %s
+    """
+        .formatted(KEY_SHA256, upstreams);
+  }
+
+  static Settings settings(String host, int drainDelayMillis) {
+    return SettingsParser.parse(
+            "test.toml",
+            """
+            [node]
+            host = "%s"
+            region = "valle-central"
+            zone = "heredia"
+            caller_address = "127.0.0.1:0"
+            operator_address = "127.0.0.1:0"
+            peer_address = "127.0.0.1:0"
+            drain_delay_ms = %d
+            [object_service]
+            url = "http://127.0.0.1:1"
+            [tls]
+            mode = "plain"
+            """
+                .formatted(host, drainDelayMillis))
+        .orThrow(ErrorCode.SETTINGS_INVALID);
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/mustardlatch/standin/StandinServer.java
@@ -0,0 +1,116 @@
+package org.mustardlatch.standin;
+
+import io.javalin.Javalin;
+import io.javalin.compression.CompressionStrategy;
+import io.javalin.config.RoutesConfig;
+import io.javalin.http.Context;
+import io.javalin.http.Handler;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.net.URI;
+import java.util.Arrays;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.function.Consumer;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.server.Connector;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * An HTTP server on loopback that can break off or silence its open connections. Each call runs on
+ * a virtual thread.
+ */
+final class StandinServer {
+  private static final String HOST = "127.0.0.1";
+
+  private final Consumer<RoutesConfig> routes;
+  private final Set<Integer> silentPeerPorts = ConcurrentHashMap.newKeySet();
+  private int port;
+  private @Nullable Javalin javalin;
+  private volatile CountDownLatch stopped = new CountDownLatch(1);
+
+  StandinServer(int port, Consumer<RoutesConfig> routes) {
+    this.port = port;
+    this.routes = routes;
+  }
+
+  /** Starts listening; a server that was started with port 0 keeps its port when restarted. */
+  synchronized void start() {
+    stopped = new CountDownLatch(1);
+    silentPeerPorts.clear();
+    Javalin created =
+        Javalin.create(
+            config -> {
+              config.concurrency.useVirtualThreads = true;
+              config.startup.showJavalinBanner = false;
+              config.startup.startupWatcherEnabled = false;
+              config.http.compressionStrategy = CompressionStrategy.NONE;
+              config.http.maxRequestSize = 16L << 20;
+              config.routes.before(holdWhenSilent());
+              routes.accept(config.routes);
+            });
+    created.start(HOST, port);
+    port = created.port();
+    javalin = created;
+  }
+
+  /** Closes all connections at once and stops listening. */
+  synchronized void stop() {
+    Javalin running = javalin;
+    if (running == null) {
+      return;
+    }
+    javalin = null;
+    stopped.countDown();
+    closeConnections(running);
+    running.stop();
+  }
+
+  /** Makes every connection that is open now stay open without answering; new ones work. */
+  synchronized void silenceOpenConnections() {
+    Javalin running = javalin;
+    if (running != null) {
+      connectors(running)
+          .flatMap(c -> c.getConnectedEndPoints().stream())
+          .forEach(e -> silentPeerPorts.add(peerPort(e.getRemoteSocketAddress())));
+    }
+  }
+
+  boolean isSilent(Context ctx) {
+    return silentPeerPorts.contains(ctx.req().getRemotePort());
+  }
+
+  /** Blocks the calling handler until the server stops. */
+  void holdUntilStop() throws InterruptedException {
+    stopped.await();
+  }
+
+  synchronized int port() {
+    return port;
+  }
+
+  URI url() {
+    return URI.create("http://" + HOST + ":" + port());
+  }
+
+  private Handler holdWhenSilent() {
+    return ctx -> {
+      if (isSilent(ctx)) {
+        holdUntilStop();
+      }
+    };
+  }
+
+  private static void closeConnections(Javalin running) {
+    connectors(running).flatMap(c -> c.getConnectedEndPoints().stream()).forEach(EndPoint::close);
+  }
+
+  private static java.util.stream.Stream<Connector> connectors(Javalin running) {
+    return Arrays.stream(running.jettyServer().server().getConnectors());
+  }
+
+  private static int peerPort(@Nullable SocketAddress address) {
+    return address instanceof InetSocketAddress inet ? inet.getPort() : -1;
+  }
+}
