--- /dev/null
+++ b/daemon/src/main/java/org/mustardlatch/daemon/store/ObjectWatch.java
@@ -0,0 +1,106 @@
+package org.mustardlatch.daemon.store;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.util.function.Consumer;
+import okhttp3.Call;
+import okhttp3.Callback;
+import okhttp3.HttpUrl;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.Response;
+import okio.BufferedSource;
+import org.jspecify.annotations.Nullable;
+import org.mustardlatch.core.time.TimerService;
+import org.mustardlatch.core.time.TimerSubscription;
+
+/** One watch, opened again after each failure. */
+final class ObjectWatch implements TimerSubscription, Callback {
+  private final OkHttpClient http;
+  private final HttpUrl url;
+  private final String name;
+  private final ObjectStoreTimeouts timeouts;
+  private final TimerService timers;
+  private final Consumer<StoredObject> listener;
+  private volatile String version = "0";
+  private volatile boolean cancelled;
+  private volatile @Nullable Call call;
+
+  ObjectWatch(
+      OkHttpClient http,
+      HttpUrl url,
+      String name,
+      ObjectStoreTimeouts timeouts,
+      TimerService timers,
+      Consumer<StoredObject> listener) {
+    this.http = http;
+    this.url = url;
+    this.name = name;
+    this.timeouts = timeouts;
+    this.timers = timers;
+    this.listener = listener;
+  }
+
+  void open() {
+    if (cancelled) {
+      return;
+    }
+    HttpUrl watchUrl =
+        url.newBuilder()
+            .addQueryParameter("watch", "true")
+            .addQueryParameter("resourceVersion", version)
+            .build();
+    Call next = http.newCall(new Request.Builder().url(watchUrl).build());
+    call = next;
+    next.enqueue(this);
+    if (cancelled) {
+      next.cancel();
+    }
+  }
+
+  @Override
+  public void cancel() {
+    cancelled = true;
+    Call current = call;
+    if (current != null) {
+      current.cancel();
+    }
+  }
+
+  @Override
+  public void onFailure(Call failed, IOException e) {
+    reopenLater();
+  }
+
+  @Override
+  public void onResponse(Call answered, Response response) {
+    try (response) {
+      if (response.code() == 200) {
+        readLines(response.body().source());
+      }
+    } catch (IOException e) {
+      // The connection broke or went silent; opening it again is the remedy for both.
+    } finally {
+      reopenLater();
+    }
+  }
+
+  private void readLines(BufferedSource source) throws IOException {
+    String line = source.readUtf8Line();
+    while (line != null && !cancelled) {
+      JsonNode event = ObjectStoreClient.JSON.readTree(line);
+      if (event.has("object")) {
+        StoredObject object = ObjectStoreClient.toObject(name, event.path("object"));
+        version = object.version();
+        listener.accept(object);
+      }
+      line = source.readUtf8Line();
+    }
+  }
+
+  private void reopenLater() {
+    if (!cancelled) {
+      timers.schedule(timeouts.watchRetry(), this::open);
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/mustardlatch/daemon/store/Publication.java
@@ -0,0 +1,99 @@
+package org.mustardlatch.daemon.store;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.mustardlatch.core.time.TimerService;
+
+/**
+ * One attempt to publish a manifest: read, conditional update, and reading back after a lost
+ * answer.
+ *
+ * <p>A lost update may still be applied while the version that it names is the current one.
+ * Therefore a read that shows the old version settles nothing, and the update is sent again on that
+ * version: whichever of the two is applied makes the other fail.
+ */
+final class Publication {
+  private static final Duration PAUSE = Duration.ofMillis(100);
+
+  private final ObjectStoreClient store;
+  private final TimerService timers;
+  private final long base;
+  private final String text;
+  private final String nonce;
+  private final long giveUpNanos;
+  private volatile boolean ambiguous;
+
+  Publication(
+      ObjectStoreClient store,
+      TimerService timers,
+      long base,
+      String text,
+      String nonce,
+      long giveUpNanos) {
+    this.store = store;
+    this.timers = timers;
+    this.base = base;
+    this.text = text;
+    this.nonce = nonce;
+    this.giveUpNanos = giveUpNanos;
+  }
+
+  CompletableFuture<PublishResult> run() {
+    return store
+        .get("manifests", "current")
+        .thenCompose(
+            read ->
+                switch (read) {
+                  case ReadResult.Found f ->
+                      decide(f.object().version(), ManifestObject.parse(f.object().spec()));
+                  case ReadResult.NotFound n -> decide("", ManifestObject.EMPTY);
+                  case ReadResult.Failed f -> failed("object service can't be read: " + f.reason());
+                });
+  }
+
+  private CompletableFuture<PublishResult> decide(String version, ManifestObject found) {
+    if (found.writers().contains(nonce)) {
+      return completed(new PublishResult.Published(base + 1));
+    }
+    if (found.current().revision() != base) {
+      return completed(new PublishResult.Conflict(found.current()));
+    }
+    return write(version, found);
+  }
+
+  private CompletableFuture<PublishResult> write(String version, ManifestObject found) {
+    return store
+        .put("manifests", "current", version, found.next(text, nonce).toSpec())
+        .thenCompose(
+            written ->
+                switch (written) {
+                  case WriteResult.Stored s -> completed(new PublishResult.Published(base + 1));
+                  case WriteResult.Conflict c -> retry("conflicting update");
+                  case WriteResult.Refused r -> failed("update refused: " + r.reason());
+                  case WriteResult.Unknown u -> {
+                    ambiguous = true;
+                    yield retry("answer to the update lost: " + u.reason());
+                  }
+                });
+  }
+
+  private CompletableFuture<PublishResult> failed(String reason) {
+    return ambiguous ? retry(reason) : completed(new PublishResult.Refused(reason));
+  }
+
+  private CompletableFuture<PublishResult> retry(String reason) {
+    if (timers.nanos() < giveUpNanos) {
+      CompletableFuture<Boolean> paused = new CompletableFuture<>();
+      timers.schedule(PAUSE, () -> paused.complete(true));
+      return paused.thenCompose(p -> run());
+    }
+    return completed(
+        ambiguous
+            ? new PublishResult.Unknown(base + 1, reason)
+            : new PublishResult.Refused(reason));
+  }
+
+  private static CompletableFuture<PublishResult> completed(PublishResult result) {
+    return CompletableFuture.completedFuture(result);
+  }
+}
