--- /dev/null
+++ b/replay/src/main/java/org/mustardlatch/replay/Policies.java
@@ -0,0 +1,34 @@
+package org.mustardlatch.replay;
+
+import java.util.List;
+import java.util.function.Function;
+import java.util.random.RandomGenerator;
+
+/** The policies that can be replayed, by name. */
+public final class Policies {
+  /** Names of all policies, baselines first. */
+  public static final List<String> NAMES =
+      List.of("round-robin", "least-reported-load", "two-choice");
+
+  private Policies() {}
+
+  /**
+   * Returns the policy with this name.
+   *
+   * @throws IllegalArgumentException when there is none
+   */
+  public static PolicyFactory named(String name) {
+    return switch (name) {
+      case "round-robin" -> baseline(EngineChooser::roundRobin);
+      case "least-reported-load" -> baseline(EngineChooser::leastLoad);
+      case "two-choice" -> baseline(EngineChooser::twoChoice);
+      default ->
+          throw new IllegalArgumentException(
+              "policy \"" + name + "\" does not exist; one of " + NAMES);
+    };
+  }
+
+  private static PolicyFactory baseline(Function<RandomGenerator, EngineChooser> chooser) {
+    return (self, random) -> new BaselinePolicy(self.region(), chooser.apply(random));
+  }
+}
