Add NodeRouter with admission, entry state machine and crash evidence

A request goes through reserve, prefill, decode, complete, cancel and refuse. Admission keeps the queue at the admitting node and binds a request to an engine only when that engine is about to be free, so that a straggler holds at most two requests. New admission messages: ReserveQueued, ReserveDecode, ReserveWithdraw.

Ruled out: queueing in the engine, which takes fair queueing and late choice away.

--- a/core/src/main/java/org/mustardlatch/core/peer/AdmissionMessage.java
+++ b/core/src/main/java/org/mustardlatch/core/peer/AdmissionMessage.java
@@ -38,6 +38,43 @@
     }
   }
 
+  /**
+   * Asks for another decode engine for a KV cache that was already exported.
+   *
+   * @param cell cell that is asked
+   * @param source prefill engine that holds the KV cache
+   * @param kvBudgetNanos time left until the KV cache expires, nanoseconds
+   * @param excluded upstreams that must not be used
+   */
+  record ReserveDecode(
+      AttemptId attempt,
+      String cell,
+      WorkspaceId workspace,
+      ModelId model,
+      int promptTokens,
+      int maxOutputTokens,
+      Fingerprint fingerprint,
+      UpstreamId source,
+      long kvBudgetNanos,
+      List<UpstreamId> excluded)
+      implements AdmissionMessage {
+    /** Copies the list. */
+    public ReserveDecode {
+      excluded = List.copyOf(excluded);
+    }
+  }
+
+  /**
+   * The request waits in the queue of the cell; a grant or a refusal follows.
+   *
+   * @param predictedWaitNanos predicted time until the grant, nanoseconds
+   */
+  record ReserveQueued(AttemptId attempt, long predictedWaitNanos, CellSummary summary)
+      implements AdmissionMessage {}
+
+  /** The sender no longer wants the reservation that it asked for and was not granted yet. */
+  record ReserveWithdraw(AttemptId attempt, String cell) implements AdmissionMessage {}
+
   /**
    * A reservation.
    *
--- /dev/null
+++ b/core/src/main/java/org/mustardlatch/core/routing/DepartureRate.java
@@ -0,0 +1,40 @@
+package org.mustardlatch.core.routing;
+
+/** Rate at which decode slots of a cell become free, from windows of one second. */
+final class DepartureRate {
+  private static final long WINDOW_NANOS = 1_000_000_000;
+  private static final double NEWEST_WEIGHT = 0.4;
+
+  private double perSecond = -1;
+  private int inWindow;
+  private long windowStartNanos = Long.MIN_VALUE;
+
+  void departed(long now) {
+    roll(now);
+    inWindow++;
+  }
+
+  /**
+   * Returns departures per second.
+   *
+   * @param initial the answer before a whole window was observed
+   */
+  double perSecond(long now, double initial) {
+    roll(now);
+    return perSecond < 0 ? initial : Math.max(perSecond, initial * 0.1);
+  }
+
+  private void roll(long now) {
+    if (windowStartNanos == Long.MIN_VALUE) {
+      windowStartNanos = now;
+      return;
+    }
+    long age = now - windowStartNanos;
+    if (age >= WINDOW_NANOS) {
+      double rate = inWindow * 1e9 / age;
+      perSecond = perSecond < 0 ? rate : perSecond + NEWEST_WEIGHT * (rate - perSecond);
+      windowStartNanos = now;
+      inWindow = 0;
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/mustardlatch/core/routing/EngineState.java
@@ -0,0 +1,120 @@
+package org.mustardlatch.core.routing;
+
+import java.util.ArrayDeque;
+import java.util.List;
+import org.mustardlatch.core.manifest.Upstream;
+
+/** What an admitting node knows about one engine: what it reserved there and how fast it is. */
+final class EngineState {
+  // Covers the way of the grant to the engine and of the news of its end back; without it short
+  // prefills would look like stragglers.
+  private static final long PREFILL_OVERHEAD_NANOS = 4_000_000;
+  // A prefill past its predicted end is expected to take this share of its age on top.
+  private static final double OVERDUE_SHARE = 0.3;
+  private static final int PREFIX_BLOCKS = 4096;
+
+  /** The engine as the manifest in force states it. */
+  Upstream upstream;
+
+  final Pace prefillPace = new Pace();
+  final Pace transferPace = new Pace();
+  final Pace tokenPace = new Pace();
+  final PrefixIndex prefixes = new PrefixIndex(PREFIX_BLOCKS);
+  final ProbeGate probes = new ProbeGate();
+
+  /** Prefills granted and not known to have ended, oldest first. */
+  final ArrayDeque<Reservation> prefilling = new ArrayDeque<>();
+
+  int heldSlots;
+  int heldPieces;
+  int suspects;
+
+  /** Attempts that the engine holds for nodes that did not tell this one. */
+  int unaccounted;
+
+  int reportedRunning;
+  int handoverGrants;
+
+  /** Time before which no work is sent, after a crash or a refusal. */
+  long blockedUntilNanos = Long.MIN_VALUE;
+
+  private long prefillServingSinceNanos;
+
+  EngineState(Upstream upstream) {
+    this.upstream = upstream;
+  }
+
+  boolean usable(LeavingUpstreams leaving, long now) {
+    return !upstream.leaving() && now >= blockedUntilNanos && !leaving.contains(upstream.id(), now);
+  }
+
+  int freeSlots() {
+    return Math.max(0, upstream.slots() - heldSlots - unaccounted);
+  }
+
+  /**
+   * Returns the slots that a new admitting node may grant before it has heard of all reservations
+   * of its predecessor: half of those that the engine reports as free.
+   */
+  int freeSlotsInHandover() {
+    int half = Math.max(0, upstream.slots() - reportedRunning) / 2 - handoverGrants;
+    return Math.min(half, freeSlots());
+  }
+
+  boolean hasMemory(int pieces) {
+    return upstream.memoryPieces() == 0 || heldPieces + pieces <= upstream.memoryPieces();
+  }
+
+  /** Returns the duration of a prefill at the rate that the manifest states, nanoseconds. */
+  long nominalPrefillNanos(int promptTokens, List<Long> prefix) {
+    int rate = Math.max(1, upstream.prefillTokensPerSecond());
+    int tokens = promptTokens - prefixes.cachedTokens(prefix, promptTokens);
+    return PREFILL_OVERHEAD_NANOS + (long) (tokens * 1e9 / rate);
+  }
+
+  void prefillGranted(Reservation r, long now) {
+    if (prefilling.isEmpty()) {
+      prefillServingSinceNanos = now;
+    }
+    prefilling.add(r);
+  }
+
+  /** Takes a prefill off the engine; a finished one tells how fast the engine is. */
+  void prefillEnded(Reservation r, long now, boolean finished) {
+    boolean first = prefilling.peek() == r;
+    if (prefilling.remove(r) && finished && first) {
+      prefillPace.observe(now - prefillServingSinceNanos, r.nominalNanos);
+    }
+    if (first) {
+      prefillServingSinceNanos = now;
+    }
+  }
+
+  /** Returns the pace of prefills with the age of the one in progress taken into account. */
+  double prefillRatio(long now) {
+    Reservation first = prefilling.peek();
+    if (first == null) {
+      return prefillPace.ratio();
+    }
+    double age = (double) (now - prefillServingSinceNanos) / first.nominalNanos;
+    return Math.max(prefillPace.ratio(), age);
+  }
+
+  /** Returns the predicted time until the prefills granted so far have ended, nanoseconds. */
+  long backlogNanos(long now) {
+    long sum = 0;
+    double pace = prefillPace.ratio();
+    boolean first = true;
+    for (Reservation r : prefilling) {
+      double predicted = r.nominalNanos * pace;
+      if (first) {
+        long age = now - prefillServingSinceNanos;
+        sum += (long) Math.max(predicted - age, age > predicted ? age * OVERDUE_SHARE : 0);
+        first = false;
+      } else {
+        sum += (long) predicted;
+      }
+    }
+    return sum;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/mustardlatch/core/routing/EntryRequest.java
@@ -0,0 +1,81 @@
+package org.mustardlatch.core.routing;
+
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+import org.mustardlatch.core.model.AttemptId;
+import org.mustardlatch.core.model.UpstreamId;
+
+/** A request of a caller at its entry node, until its final answer. */
+final class EntryRequest {
+  final GenerationRequest request;
+  final long arrivedNanos;
+
+  /** Upstreams that failed this request. */
+  final Set<UpstreamId> excluded = new LinkedHashSet<>();
+
+  /** Cells that refused it since the last attempt that was granted. */
+  final Set<String> refusedCells = new HashSet<>();
+
+  @Nullable Attempt current;
+  @Nullable Attempt hedge;
+
+  /** Whether it waits for the permission to run as a suspect. */
+  boolean waitsForPermission;
+
+  /** Whether the permission to run as a suspect was given. */
+  boolean permitted;
+
+  int permissionAsks;
+  boolean suspectRun;
+  boolean hedged;
+  boolean crossed;
+  int tokensSent;
+  private int attempts;
+
+  EntryRequest(GenerationRequest request, long arrivedNanos) {
+    this.request = request;
+    this.arrivedNanos = arrivedNanos;
+  }
+
+  AttemptId nextAttempt() {
+    attempts++;
+    return new AttemptId(request.id(), attempts);
+  }
+
+  int attempts() {
+    return attempts;
+  }
+
+  /** Returns the live attempt with this name, or null for one that ended or lost. */
+  @Nullable Attempt find(AttemptId id) {
+    if (current != null && current.id.equals(id)) {
+      return current;
+    }
+    return hedge != null && hedge.id.equals(id) ? hedge : null;
+  }
+
+  int promptTokens() {
+    return request.promptTokens() + tokensSent;
+  }
+
+  int remainingTokens() {
+    return Math.max(0, request.maxOutputTokens() - tokensSent);
+  }
+
+  /** Returns the attempts in progress, the current one first. */
+  List<Attempt> live() {
+    Attempt a = current;
+    Attempt b = hedge;
+    if (a == null) {
+      return b == null ? List.of() : List.of(b);
+    }
+    return b == null ? List.of(a) : List.of(a, b);
+  }
+
+  String stage() {
+    return current == null ? "no attempt" : current.state.toString();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/mustardlatch/core/routing/HeldSweep.java
@@ -0,0 +1,72 @@
+package org.mustardlatch.core.routing;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.mustardlatch.core.model.HostId;
+import org.mustardlatch.core.model.UpstreamId;
+
+/** Cancels attempts that engines hold for node incarnations that are gone. */
+final class HeldSweep {
+  /** Cancels per engine and pass; bounds the load on an engine after a node died. */
+  static final int MAX_CANCELS = 32;
+
+  // A node that joined may hold attempts before membership has told this one about it.
+  private static final long UNKNOWN_OWNER_NANOS = 10_000_000_000L;
+
+  private record Owner(HostId host, long incarnation) {}
+
+  private final Effects fx;
+  private final Map<Owner, Long> unknownSinceNanos = new HashMap<>();
+  private final Set<HostId> gone = new HashSet<>();
+  private Topology topology;
+
+  HeldSweep(Effects fx, Topology topology) {
+    this.fx = fx;
+    this.topology = topology;
+  }
+
+  void topologyChanged(Topology next) {
+    for (Member m : topology.members()) {
+      if (next.member(m.host()) == null) {
+        gone.add(m.host());
+      }
+    }
+    gone.removeIf(h -> next.member(h) != null);
+    topology = next;
+  }
+
+  /** Emits the cancels for one engine's list. */
+  void sweep(UpstreamId upstream, List<HeldAttempt> held, EntrySide own, long incarnation) {
+    int cancels = 0;
+    for (HeldAttempt h : held) {
+      if (cancels < MAX_CANCELS && abandoned(h, own, incarnation)) {
+        fx.emit(new RoutingCommand.CancelHeld(h, upstream));
+        cancels++;
+      }
+    }
+  }
+
+  private boolean abandoned(HeldAttempt h, EntrySide own, long incarnation) {
+    if (h.owner().equals(fx.self())) {
+      return h.incarnation() < incarnation || !own.holds(h.attempt());
+    }
+    Member m = topology.member(h.owner());
+    if (m != null) {
+      return h.incarnation() < m.incarnation();
+    }
+    if (gone.contains(h.owner())) {
+      return true;
+    }
+    Owner owner = new Owner(h.owner(), h.incarnation());
+    long since = unknownSinceNanos.computeIfAbsent(owner, o -> fx.now());
+    return fx.now() - since >= UNKNOWN_OWNER_NANOS;
+  }
+
+  void tick() {
+    // Twice the waiting time, so that an owner whose attempts are still listed stays known.
+    unknownSinceNanos.values().removeIf(t -> fx.now() - t >= 2 * UNKNOWN_OWNER_NANOS);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/mustardlatch/core/routing/LinkEstimate.java
@@ -0,0 +1,65 @@
+package org.mustardlatch.core.routing;
+
+/**
+ * Share of the links that the KV transfers of a cell use. The manifest does not state the rate or
+ * the layout of links within a region, so the number of attempts between prefill and decode is
+ * limited by what was observed: it falls when transfers come near the lifetime of an exported KV
+ * cache and grows while they are short.
+ */
+final class LinkEstimate {
+  private static final double NEWEST_WEIGHT = 0.2;
+  // Exported KV caches live for 0.8 s; a transfer that takes half of that is near failure.
+  private static final long SLOW_NANOS = 400_000_000;
+  private static final long FAST_NANOS = 200_000_000;
+  private static final double DECREASE = 0.8;
+  private static final double MIN_LIMIT = 2;
+  private static final double MAX_LIMIT = 1024;
+  // One congestion lets several transfers end late; it must lower the limit once.
+  private static final long DECREASE_INTERVAL_NANOS = 400_000_000;
+
+  private double nanosPerByte;
+  private double limit = MAX_LIMIT;
+  private int reserved;
+  private long nextDecreaseNanos = Long.MIN_VALUE;
+
+  /** Reserves a share for an attempt from its grant until its transfer has ended. */
+  void reserve() {
+    reserved++;
+  }
+
+  void release() {
+    reserved--;
+  }
+
+  boolean hasRoom() {
+    return reserved < limit;
+  }
+
+  /** Returns the predicted duration of a transfer, nanoseconds; 0 before any was observed. */
+  long transferNanos(long bytes) {
+    return (long) (nanosPerByte * bytes);
+  }
+
+  /** Learns from a finished transfer. */
+  void observe(long bytes, long durationNanos, long now) {
+    if (bytes <= 0 || durationNanos < 0) {
+      return;
+    }
+    double observed = (double) durationNanos / bytes;
+    nanosPerByte =
+        nanosPerByte == 0 ? observed : nanosPerByte + NEWEST_WEIGHT * (observed - nanosPerByte);
+    if (durationNanos > SLOW_NANOS) {
+      congested(now);
+    } else if (durationNanos < FAST_NANOS && limit < MAX_LIMIT) {
+      limit = Math.min(MAX_LIMIT, limit + 1 / limit);
+    }
+  }
+
+  /** Lowers the limit after a transfer that was slow or failed. */
+  void congested(long now) {
+    if (now >= nextDecreaseNanos) {
+      limit = Math.max(MIN_LIMIT, DECREASE * Math.min(limit, reserved + 1));
+      nextDecreaseNanos = now + DECREASE_INTERVAL_NANOS;
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/mustardlatch/core/routing/NodeSettings.java
@@ -0,0 +1,46 @@
+package org.mustardlatch.core.routing;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+import org.mustardlatch.core.manifest.Limits;
+import org.mustardlatch.core.manifest.Manifest;
+import org.mustardlatch.core.manifest.Objective;
+import org.mustardlatch.core.manifest.Workspace;
+import org.mustardlatch.core.model.WorkspaceId;
+
+/** The parts of the manifest in force that decisions look up by key; changes with the manifest. */
+final class NodeSettings {
+  private Tuning tuning = Tuning.of(Objective.WASTE_AVERSE);
+  private Limits limits = new Limits(0.1, 0.02);
+  private Map<WorkspaceId, Double> weights = Map.of();
+  private @Nullable Manifest manifest;
+
+  void apply(Manifest next) {
+    manifest = next;
+    tuning = Tuning.of(next.objective());
+    limits = next.limits();
+    Map<WorkspaceId, Double> w = new HashMap<>();
+    for (Workspace workspace : next.workspaces()) {
+      w.put(workspace.id(), workspace.weight());
+    }
+    weights = Map.copyOf(w);
+  }
+
+  @Nullable Manifest manifest() {
+    return manifest;
+  }
+
+  Tuning tuning() {
+    return tuning;
+  }
+
+  Limits limits() {
+    return limits;
+  }
+
+  /** Returns the share of a workspace in fair queueing; 1 for one that the manifest omits. */
+  double weight(WorkspaceId workspace) {
+    return weights.getOrDefault(workspace, 1.0);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/mustardlatch/core/routing/Placer.java
@@ -0,0 +1,234 @@
+package org.mustardlatch.core.routing;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.function.ToDoubleFunction;
+import org.jspecify.annotations.Nullable;
+import org.mustardlatch.core.manifest.UpstreamRole;
+
+/** Chooses the engines of a reservation by predicted first token. */
+final class Placer {
+  // The next prefill is sent to an engine this long before the current one ends, which covers the
+  // way of the news and of the grant. More would bind requests to an engine that may slow down.
+  static final long LOOKAHEAD_NANOS = 30_000_000;
+  private static final double STRAGGLER_RATIO = 3;
+  private static final double SLOW_RATIO = 1.5;
+  private static final long MEDIAN_AGE_NANOS = 50_000_000;
+
+  private final Cell cell;
+  private final LeavingUpstreams leaving;
+  private final List<EngineState> prefills = new ArrayList<>();
+  private final List<EngineState> decodes = new ArrayList<>();
+  private double medianPrefill = 1;
+  private double medianToken = 1;
+  private double medianTransfer = 1;
+  private long mediansAtNanos = Long.MIN_VALUE;
+
+  /**
+   * A choice of engines.
+   *
+   * @param prefill null when the KV cache exists already
+   * @param nominalNanos duration of the prefill at the rate of the manifest
+   * @param firstTokenNanos predicted time from now to the first token
+   */
+  record Placement(
+      @Nullable EngineState prefill,
+      EngineState decode,
+      long nominalNanos,
+      long prefillNanos,
+      long firstTokenNanos) {}
+
+  Placer(Cell cell, Iterable<EngineState> engines, LeavingUpstreams leaving) {
+    this.cell = cell;
+    this.leaving = leaving;
+    for (EngineState e : engines) {
+      if (e.upstream.role().prefills()) {
+        prefills.add(e);
+      }
+      if (e.upstream.role().decodes()) {
+        decodes.add(e);
+      }
+    }
+  }
+
+  List<EngineState> prefills() {
+    return prefills;
+  }
+
+  List<EngineState> decodes() {
+    return decodes;
+  }
+
+  /** Returns the best choice that has room now, or null. */
+  @Nullable Placement place(
+      Ask ask, boolean suspect, LinkEstimate link, boolean handover, long now) {
+    refreshMedians(now);
+    if (ask.source() != null) {
+      EngineState d = decode(ask, null, suspect, link, handover, now);
+      return d == null ? null : new Placement(null, d, 0, 0, afterPrefill(ask, d, link));
+    }
+    EngineState best = null;
+    double bestFinish = Double.MAX_VALUE;
+    long bestNominal = 0;
+    for (EngineState e : prefills) {
+      if (!prefillRoom(e, ask, suspect, now)) {
+        continue;
+      }
+      long nominal = e.nominalPrefillNanos(ask.promptTokens(), ask.prefixBlocks());
+      double finish = e.backlogNanos(now) + nominal * e.prefillRatio(now);
+      if (finish < bestFinish) {
+        best = e;
+        bestFinish = finish;
+        bestNominal = nominal;
+      }
+    }
+    if (best == null) {
+      return null;
+    }
+    EngineState d = decode(ask, best, suspect, link, handover, now);
+    if (d == null) {
+      return null;
+    }
+    long finish = (long) bestFinish;
+    long first = finish + (d == best ? 0 : afterPrefill(ask, d, link));
+    return new Placement(best, d, bestNominal, finish, first);
+  }
+
+  private boolean prefillRoom(EngineState e, Ask ask, boolean suspect, long now) {
+    if (!e.usable(leaving, now) || ask.excluded().contains(e.upstream.id())) {
+      return false;
+    }
+    if (e.freeSlots() == 0 || !e.hasMemory(ask.prefillPieces()) || (suspect && e.suspects > 0)) {
+      return false;
+    }
+    if (isStraggler(e.prefillRatio(now), medianPrefill)) {
+      return e.prefilling.isEmpty() && e.probes.due(now);
+    }
+    return e.backlogNanos(now) <= LOOKAHEAD_NANOS;
+  }
+
+  private @Nullable EngineState decode(
+      Ask ask,
+      @Nullable EngineState prefill,
+      boolean suspect,
+      LinkEstimate link,
+      boolean handover,
+      long now) {
+    EngineState best = null;
+    double bestScore = Double.MAX_VALUE;
+    for (EngineState e : decodes) {
+      if (!e.usable(leaving, now) || ask.excluded().contains(e.upstream.id())) {
+        continue;
+      }
+      int free = handover ? e.freeSlotsInHandover() : e.freeSlots();
+      if (free <= 0 || !e.hasMemory(ask.decodePieces()) || (suspect && e.suspects > 0)) {
+        continue;
+      }
+      double slowness = slowness(e);
+      if (slowness > STRAGGLER_RATIO && !e.probes.due(now)) {
+        continue;
+      }
+      double score = score(e, ask, prefill, link, slowness);
+      if (score < bestScore) {
+        best = e;
+        bestScore = score;
+      }
+    }
+    return best;
+  }
+
+  private double score(
+      EngineState e, Ask ask, @Nullable EngineState prefill, LinkEstimate link, double slowness) {
+    double occupancy = (e.heldSlots + e.unaccounted + 1.0) / Math.max(1, e.upstream.slots());
+    double share = slowness > SLOW_RATIO ? slowness : 1;
+    double transfer = e == prefill ? 0 : afterPrefill(ask, e, link);
+    return transfer + occupancy * share * cell.model().tokenGapTarget().toNanos();
+  }
+
+  /** Returns how slow a decode engine is against the median of its pool, by its worse half. */
+  private double slowness(EngineState e) {
+    return Math.max(
+        e.tokenPace.ratio() / medianToken, Math.min(4, e.transferPace.ratio() / medianTransfer));
+  }
+
+  private long afterPrefill(Ask ask, EngineState decode, LinkEstimate link) {
+    long bytes = cell.model().kvBytesPerToken() * ask.promptTokens();
+    return (long) (link.transferNanos(bytes) * Math.max(1, decode.transferPace.ratio()));
+  }
+
+  private static boolean isStraggler(double ratio, double median) {
+    return ratio > STRAGGLER_RATIO * median;
+  }
+
+  /** Returns whether work on this engine is a probe of a straggler. */
+  boolean isProbe(EngineState e, long now) {
+    return isStraggler(e.prefillRatio(now), medianPrefill) || slowness(e) > STRAGGLER_RATIO;
+  }
+
+  private void refreshMedians(long now) {
+    if (mediansAtNanos != Long.MIN_VALUE && now - mediansAtNanos < MEDIAN_AGE_NANOS) {
+      return;
+    }
+    mediansAtNanos = now;
+    medianPrefill = median(prefills, e -> e.prefillPace.ratio());
+    medianToken = median(decodes, e -> e.tokenPace.ratio());
+    medianTransfer = median(decodes, e -> e.transferPace.ratio());
+    prefills.forEach(e -> release(e, e.prefillPace.ratio() / medianPrefill));
+    decodes.forEach(e -> release(e, slowness(e)));
+  }
+
+  private static void release(EngineState e, double relative) {
+    if (relative <= STRAGGLER_RATIO && e.upstream.role() != UpstreamRole.MIXED) {
+      e.probes.recovered();
+    }
+  }
+
+  private static double median(List<EngineState> engines, ToDoubleFunction<EngineState> value) {
+    if (engines.isEmpty()) {
+      return 1;
+    }
+    double[] values = engines.stream().mapToDouble(value).sorted().toArray();
+    Arrays.sort(values);
+    return Math.max(0.05, values[(values.length - 1) / 2]);
+  }
+
+  /** Returns the prompt tokens per nanosecond that the usable prefill engines do together. */
+  double prefillTokensPerNano(long now) {
+    double sum = 0;
+    for (EngineState e : prefills) {
+      double ratio = e.prefillRatio(now);
+      if (e.usable(leaving, now) && !isStraggler(ratio, medianPrefill)) {
+        sum += e.upstream.prefillTokensPerSecond() / 1e9 / ratio;
+      }
+    }
+    return sum;
+  }
+
+  /** Returns the time until some prefill engine takes another prefill, nanoseconds. */
+  long nextPrefillNanos(long now) {
+    long best = Long.MAX_VALUE;
+    for (EngineState e : prefills) {
+      if (e.usable(leaving, now)) {
+        best = Math.min(best, Math.max(0, e.backlogNanos(now) - LOOKAHEAD_NANOS));
+      }
+    }
+    return best;
+  }
+
+  int freeDecodeSlots(long now) {
+    int sum = 0;
+    for (EngineState e : decodes) {
+      sum += e.usable(leaving, now) ? e.freeSlots() : 0;
+    }
+    return sum;
+  }
+
+  int usableDecodeSlots(long now) {
+    int sum = 0;
+    for (EngineState e : decodes) {
+      sum += e.usable(leaving, now) ? e.upstream.slots() : 0;
+    }
+    return sum;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/mustardlatch/core/routing/PrefixIndex.java
@@ -0,0 +1,54 @@
+package org.mustardlatch.core.routing;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The prompt blocks that an engine has probably cached, by what was sent to it. Engines publish
+ * their cache events late and with gaps, so the index does not depend on them.
+ */
+final class PrefixIndex {
+  /** Tokens of one block. */
+  static final int BLOCK_TOKENS = 256;
+
+  private final int capacity;
+  private final LinkedHashMap<Long, Boolean> blocks = new LinkedHashMap<>(16, 0.75f, true);
+
+  /**
+   * Creates an empty index.
+   *
+   * @param capacity blocks that are remembered; the least recently used ones are dropped
+   */
+  PrefixIndex(int capacity) {
+    this.capacity = capacity;
+  }
+
+  /** Returns the number of leading tokens of a prompt that the engine probably has. */
+  int cachedTokens(List<Long> prefix, int promptTokens) {
+    int hits = 0;
+    for (Long block : prefix) {
+      if (!blocks.containsKey(block)) {
+        break;
+      }
+      hits++;
+    }
+    // The last token is always computed, because it yields the first output token.
+    return Math.max(0, Math.min(hits * BLOCK_TOKENS, promptTokens - 1));
+  }
+
+  void add(List<Long> prefix) {
+    for (Long block : prefix) {
+      blocks.put(block, Boolean.TRUE);
+    }
+    var eldest = blocks.entrySet().iterator();
+    while (blocks.size() > capacity) {
+      Map.Entry<Long, Boolean> unused = eldest.next();
+      eldest.remove();
+    }
+  }
+
+  void clear() {
+    blocks.clear();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/mustardlatch/core/routing/Topology.java
@@ -0,0 +1,132 @@
+package org.mustardlatch.core.routing;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import org.jspecify.annotations.Nullable;
+import org.mustardlatch.core.manifest.Manifest;
+import org.mustardlatch.core.manifest.Model;
+import org.mustardlatch.core.manifest.Upstream;
+import org.mustardlatch.core.model.HostId;
+import org.mustardlatch.core.model.ModelId;
+import org.mustardlatch.core.model.RegionId;
+import org.mustardlatch.core.model.UpstreamId;
+
+/** Cells and their admitting nodes, derived from one manifest and one set of live nodes. */
+final class Topology {
+  /** Mean engines of a cell; one admitting node then decides for about 320 slots. */
+  static final int ENGINES_PER_CELL = 16;
+
+  private record Pool(ModelId model, RegionId region) {}
+
+  private final Map<ModelId, Model> models = new HashMap<>();
+  private final Map<Pool, List<Cell>> pools = new HashMap<>();
+  private final Map<String, Cell> cells = new HashMap<>();
+  private final Map<UpstreamId, Cell> cellOfEngine = new HashMap<>();
+  private final List<RegionId> regions = new ArrayList<>();
+  private final Map<HostId, Member> members = new HashMap<>();
+  private final Map<String, List<HostId>> owners = new HashMap<>();
+
+  Topology(@Nullable Manifest manifest, List<Member> live) {
+    live.forEach(m -> members.put(m.host(), m));
+    if (manifest != null) {
+      manifest.regions().forEach(r -> regions.add(r.id()));
+      manifest.models().forEach(m -> models.put(m.id(), m));
+      Map<Pool, List<Upstream>> engines = new HashMap<>();
+      for (Upstream u : manifest.upstreams()) {
+        RegionId region = manifest.regionOf(u.zone()).orElse(null);
+        if (u.model() != null && region != null && models.containsKey(u.model())) {
+          engines.computeIfAbsent(new Pool(u.model(), region), p -> new ArrayList<>()).add(u);
+        }
+      }
+      engines.forEach(this::divide);
+    }
+  }
+
+  private void divide(Pool pool, List<Upstream> engines) {
+    int count = Math.ceilDiv(engines.size(), ENGINES_PER_CELL);
+    List<List<Upstream>> parts = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      parts.add(new ArrayList<>());
+    }
+    for (Upstream u : engines) {
+      parts.get(Rendezvous.choose(u.id().value(), count)).add(u);
+    }
+    Model model = Objects.requireNonNull(models.get(pool.model()));
+    List<Cell> result = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      String name = pool.model() + "/" + pool.region() + "/" + i;
+      Cell cell = new Cell(name, model, pool.region(), parts.get(i));
+      cells.put(name, cell);
+      parts.get(i).forEach(u -> cellOfEngine.put(u.id(), cell));
+      result.add(cell);
+    }
+    pools.put(pool, List.copyOf(result));
+  }
+
+  /** Returns the model, or null when the manifest does not have it. */
+  @Nullable Model model(ModelId id) {
+    return models.get(id);
+  }
+
+  /** Returns the cells of a model in a region; empty when it has no engine there. */
+  List<Cell> cells(ModelId model, RegionId region) {
+    return pools.getOrDefault(new Pool(model, region), List.of());
+  }
+
+  /** Returns all regions of the manifest. */
+  List<RegionId> regions() {
+    return regions;
+  }
+
+  /** Returns every cell. */
+  Iterable<Cell> cells() {
+    return cells.values();
+  }
+
+  /** Returns the cell with this name, or null. */
+  @Nullable Cell cell(String name) {
+    return cells.get(name);
+  }
+
+  /** Returns the cell of an engine, or null when it is not an engine of the manifest. */
+  @Nullable Cell cellOf(UpstreamId engine) {
+    return cellOfEngine.get(engine);
+  }
+
+  /** Returns the live node, or null. */
+  @Nullable Member member(HostId host) {
+    return members.get(host);
+  }
+
+  /** Returns the live nodes. */
+  Iterable<Member> members() {
+    return members.values();
+  }
+
+  /** Returns the number of live nodes in a region. */
+  int membersIn(RegionId region) {
+    return (int) members.values().stream().filter(m -> m.region().equals(region)).count();
+  }
+
+  /** Returns the live nodes of the cell's region, the admitting node first. */
+  List<HostId> owners(Cell cell) {
+    return owners.computeIfAbsent(
+        cell.name(),
+        name -> {
+          List<HostId> hosts =
+              members.values().stream()
+                  .filter(m -> m.region().equals(cell.region()))
+                  .map(Member::host)
+                  .toList();
+          return Rendezvous.order(name, hosts, HostId::value);
+        });
+  }
+
+  /** Returns the live nodes of all regions in the order in which they own a key. */
+  List<HostId> ownersOf(String key) {
+    return Rendezvous.order(key, members.keySet(), HostId::value);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/mustardlatch/core/routing/NodeRouterTest.java
@@ -0,0 +1,197 @@
+package org.mustardlatch.core.routing;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.mustardlatch.core.routing.Fixtures.MILLI;
+import static org.mustardlatch.core.routing.Fixtures.OSLO;
+import static org.mustardlatch.core.routing.Fixtures.SECOND;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.mustardlatch.core.error.ErrorCode;
+import org.mustardlatch.core.manifest.Objective;
+import org.mustardlatch.core.model.AttemptId;
+import org.mustardlatch.core.model.HostId;
+import org.mustardlatch.core.model.RequestId;
+import org.mustardlatch.core.model.UpstreamId;
+
+class NodeRouterTest {
+  private final List<RoutingCommand> commands = new ArrayList<>();
+  private NodeRouter router;
+  private long now = 1000 * SECOND;
+
+  @BeforeEach
+  void startsOneNodeWithTwoPrefillAndTwoDecodeEngines() {
+    router = new NodeRouter(Fixtures.host(0), OSLO, 1, new SplittableRandom(1));
+    handle(new RoutingEvent.MembersChanged(List.of(Fixtures.member(0, OSLO))));
+    handle(
+        new RoutingEvent.ManifestApplied(
+            1, Fixtures.manifest(Objective.CREST_AVERSE, Fixtures.pools(2, 2))));
+  }
+
+  private void handle(RoutingEvent event) {
+    router.handle(event, now, commands::add);
+  }
+
+  private <T> List<T> all(Class<T> type) {
+    return commands.stream().filter(type::isInstance).map(type::cast).toList();
+  }
+
+  private <T> T last(Class<T> type) {
+    return all(type).getLast();
+  }
+
+  private RoutingCommand.StartPrefill arrive(String id) {
+    handle(new RoutingEvent.RequestArrived(Fixtures.request(id, 2000, now)));
+    return last(RoutingCommand.StartPrefill.class);
+  }
+
+  private KvHandle kv(UpstreamId source) {
+    return new KvHandle(source, "kv", 1000, now + Fixtures.KV_LIFE);
+  }
+
+  private RoutingCommand.StartDecode prefilled(RoutingCommand.StartPrefill p) {
+    now += 200 * MILLI;
+    handle(new RoutingEvent.PrefillFinished(p.attempt(), kv(p.upstream())));
+    return last(RoutingCommand.StartDecode.class);
+  }
+
+  private void assertNothingLeft() {
+    assertThat(router.openRequests()).isEqualTo(0);
+    assertThat(router.openReservations()).isEqualTo(0);
+  }
+
+  @Test
+  void carriesARequestFromArrivalToItsAnswer() {
+    RoutingCommand.StartDecode d = prefilled(arrive("r1"));
+    handle(new RoutingEvent.DecodeStarted(d.attempt()));
+    handle(new RoutingEvent.TokensArrived(d.attempt(), 3));
+    handle(new RoutingEvent.DecodeFinished(d.attempt()));
+
+    assertThat(all(RoutingCommand.Complete.class)).hasSize(1);
+    assertThat(all(RoutingCommand.SendPeer.class)).isEmpty();
+    assertNothingLeft();
+  }
+
+  @Test
+  void cancelsThePrefillWhenTheCallerLeaves() {
+    RoutingCommand.StartPrefill p = arrive("r1");
+    handle(new RoutingEvent.CallerGone(new RequestId("r1")));
+
+    assertThat(all(RoutingCommand.CancelAttempt.class))
+        .containsExactly(new RoutingCommand.CancelAttempt(p.attempt(), p.upstream()));
+    assertThat(all(RoutingCommand.Refuse.class)).isEmpty();
+    assertNothingLeft();
+  }
+
+  @Test
+  void releasesTheKvCacheOfAPrefillThatEndsAfterItsCallerLeft() {
+    RoutingCommand.StartPrefill p = arrive("r1");
+    handle(new RoutingEvent.CallerGone(new RequestId("r1")));
+    handle(new RoutingEvent.PrefillFinished(p.attempt(), kv(p.upstream())));
+
+    assertThat(all(RoutingCommand.ReleaseKv.class)).hasSize(1);
+  }
+
+  @Test
+  void givesTheKvCacheToAnotherDecodeEngineWhenTheFirstRefuses() {
+    RoutingCommand.StartDecode first = prefilled(arrive("r1"));
+    handle(new RoutingEvent.DecodeFailed(first.attempt(), Failure.REFUSED));
+    RoutingCommand.StartDecode second = last(RoutingCommand.StartDecode.class);
+
+    assertThat(second.upstream()).isNotEqualTo(first.upstream());
+    assertThat(second.handle()).isEqualTo(first.handle());
+    assertThat(all(RoutingCommand.StartPrefill.class)).hasSize(1);
+  }
+
+  @Test
+  void continuesAStreamAfterItsDecodeEngineDied() {
+    RoutingCommand.StartDecode d = prefilled(arrive("r1"));
+    handle(new RoutingEvent.DecodeStarted(d.attempt()));
+    handle(new RoutingEvent.TokensArrived(d.attempt(), 7));
+    handle(new RoutingEvent.DecodeFailed(d.attempt(), Failure.CRASHED));
+    RoutingCommand.StartDecode next = prefilled(last(RoutingCommand.StartPrefill.class));
+
+    assertThat(next.attempt()).isEqualTo(new AttemptId(new RequestId("r1"), 2));
+    assertThat(next.resumeFrom()).isEqualTo(7);
+    assertThat(next.upstream()).isNotEqualTo(d.upstream());
+  }
+
+  @Test
+  void ignoresTokensOfAnAttemptThatWasReplaced() {
+    RoutingCommand.StartDecode d = prefilled(arrive("r1"));
+    handle(new RoutingEvent.DecodeFailed(d.attempt(), Failure.REFUSED));
+    handle(new RoutingEvent.DecodeFinished(d.attempt()));
+
+    assertThat(all(RoutingCommand.Complete.class)).isEmpty();
+  }
+
+  @Test
+  void refusesAtOnceWhenTheDeadlineCannotBeMet() {
+    for (int i = 0; i < 60; i++) {
+      handle(new RoutingEvent.RequestArrived(Fixtures.request("r" + i, 2000, now)));
+    }
+    List<RoutingCommand.Refuse> refusals = all(RoutingCommand.Refuse.class);
+
+    assertThat(refusals).isNotEmpty();
+    assertThat(refusals.getFirst().code()).isEqualTo(ErrorCode.OVERLOADED);
+    assertThat(refusals.stream().map(RoutingCommand.Refuse::retryAfter).distinct().count())
+        .isGreaterThan(refusals.size() / 2L);
+  }
+
+  @Test
+  void sendsNoNewWorkToALeavingUpstream() {
+    handle(new RoutingEvent.UpstreamLeaving(new UpstreamId("p0")));
+    handle(new RoutingEvent.UpstreamLeaving(new UpstreamId("d1")));
+    for (int i = 0; i < 3; i++) {
+      RoutingCommand.StartDecode d = prefilled(arrive("r" + i));
+      assertThat(d.handle().source()).isEqualTo(new UpstreamId("p1"));
+      assertThat(d.upstream()).isEqualTo(new UpstreamId("d0"));
+    }
+  }
+
+  @Test
+  void refusesNewRequestsWhileDrainingAndFinishesOldOnes() {
+    RoutingCommand.StartPrefill p = arrive("r1");
+    handle(new RoutingEvent.DrainRequested());
+    handle(new RoutingEvent.RequestArrived(Fixtures.request("r2", 2000, now)));
+    assertThat(last(RoutingCommand.Refuse.class).code()).isEqualTo(ErrorCode.DRAINING);
+
+    RoutingCommand.StartDecode d = prefilled(p);
+    handle(new RoutingEvent.DecodeFinished(d.attempt()));
+    assertThat(all(RoutingCommand.Complete.class)).hasSize(1);
+  }
+
+  @Test
+  void cancelsItsOwnAttemptsAfterALongPauseBeforeNewWork() {
+    RoutingCommand.StartPrefill p = arrive("r1");
+    commands.clear();
+    now += 7 * SECOND;
+    handle(new RoutingEvent.RequestArrived(Fixtures.request("r2", 2000, now)));
+
+    assertThat(router.incarnation()).isEqualTo(2);
+    int cancel = commands.indexOf(new RoutingCommand.CancelAttempt(p.attempt(), p.upstream()));
+    int start = commands.indexOf(last(RoutingCommand.StartPrefill.class));
+    assertThat(cancel).isAtLeast(0);
+    assertThat(start).isGreaterThan(cancel);
+  }
+
+  @Test
+  void cancelsWhatEnginesHoldForDeadIncarnations() {
+    HostId gone = Fixtures.host(1);
+    handle(
+        new RoutingEvent.MembersChanged(
+            List.of(Fixtures.member(0, OSLO), Fixtures.member(1, OSLO))));
+    HeldAttempt old = new HeldAttempt("x.1", gone, 0);
+    HeldAttempt live = new HeldAttempt("y.1", gone, 1);
+    handle(new RoutingEvent.HeldAttemptsListed(new UpstreamId("d0"), List.of(old, live)));
+    assertThat(all(RoutingCommand.CancelHeld.class))
+        .containsExactly(new RoutingCommand.CancelHeld(old, new UpstreamId("d0")));
+
+    handle(new RoutingEvent.MembersChanged(List.of(Fixtures.member(0, OSLO))));
+    handle(new RoutingEvent.HeldAttemptsListed(new UpstreamId("d0"), List.of(live)));
+    assertThat(all(RoutingCommand.CancelHeld.class)).hasSize(2);
+  }
+}
