--- a/replay/src/main/java/org/mustardlatch/replay/ReplayCommand.java
+++ b/replay/src/main/java/org/mustardlatch/replay/ReplayCommand.java
@@ -15,6 +15,8 @@
 import org.kohsuke.args4j.Option;
 import org.mustardlatch.core.error.ErrorCode;
 import org.mustardlatch.core.error.MustardlatchException;
+import org.mustardlatch.core.manifest.Manifest;
+import org.mustardlatch.core.manifest.ManifestParser;
 import org.mustardlatch.core.manifest.Objective;
 
 /**
@@ -23,6 +25,7 @@
  */
 public final class ReplayCommand {
   private static final int USAGE = 2;
+  private static final int NODES = 8;
 
   private final PrintStream out;
   private final PrintStream err;
@@ -33,7 +36,7 @@
   @Argument(index = 1, metaVar = "TRACE|KIND", usage = "trace file, or kind to generate")
   private String subject = "";
 
-  @Option(name = "--manifest", metaVar = "M", usage = "tinta or vevstua")
+  @Option(name = "--manifest", metaVar = "M", usage = "manifest file, or tinta or vevstua")
   private String manifest = "";
 
   @Option(name = "--policy", metaVar = "P", usage = "policy; for compare a list with commas")
@@ -107,8 +110,7 @@
   private void replay() throws IOException {
     String text = Files.readString(Path.of(subject));
     List<TraceLine> trace = TraceParser.parse(subject, text).orThrow(ErrorCode.INVALID_ARGUMENT);
-    User u = User.named(manifest);
-    Deployment deployment = u.deployment(objective(u));
+    Deployment deployment = deployment();
     String name = policy.isEmpty() ? Policies.NAMES.getLast() : policy;
     ReplayReport report = ReplayDriver.run(deployment, Policies.named(name), trace, seed);
     out.print(ReportWriter.table(name, report));
@@ -117,6 +119,17 @@
     }
   }
 
+  private Deployment deployment() throws IOException {
+    for (User u : User.values()) {
+      if (u.wireName().equals(manifest)) {
+        return u.deployment(objective(u));
+      }
+    }
+    String text = Files.readString(Path.of(manifest));
+    Manifest parsed = ManifestParser.parse(manifest, text).orThrow(ErrorCode.MANIFEST_INVALID);
+    return Deployment.spread(parsed, NODES);
+  }
+
   private void generate() throws IOException {
     List<TraceLine> trace =
         TraceGenerator.generate(User.named(user), TraceKind.named(subject), seed);
--- a/replay/src/main/java/org/mustardlatch/replay/TraceFields.java
+++ b/replay/src/main/java/org/mustardlatch/replay/TraceFields.java
@@ -84,8 +84,12 @@
   }
 
   private TraceLine fault() {
+    int before = findings.size();
     FaultKind kind =
-        text("kind", t -> FaultKind.of(t).orElseThrow(() -> notKnown(t)), FaultKind.STRAGGLER);
+        text("kind", t -> FaultKind.of(t).orElseThrow(() -> notKnown(t)), FaultKind.NODE_DEATH);
+    if (findings.size() > before) {
+      values.remove("factor"); // whether the field belongs here depends on the kind
+    }
     boolean scaled = kind == FaultKind.STRAGGLER || kind == FaultKind.LINK_SLOWDOWN;
     String target = kind == FaultKind.REGION_SPLIT ? "cross" : text("target", t -> t, "");
     return new TraceLine.Fault(
