Measure decisions apart from upkeep, and with more engines

Cause: one histogram over all events mixed decisions with tokens and load reports, so the bound of 50 us a decision could not be read from it.

--- a/replay/src/main/java/org/mustardlatch/replay/Comparison.java
+++ b/replay/src/main/java/org/mustardlatch/replay/Comparison.java
@@ -11,7 +11,7 @@
 final class Comparison {
   private static final String HEAD =
       "| trace | policy | goodput/s | good % | crest/s | waste % | TTFT p99 ms | gap p99 ms"
-          + " | cross MB | refused | missing | us/req |\n"
+          + " | cross MB | refused | missing | decision p99 us |\n"
           + "|---|---|---|---|---|---|---|---|---|---|---|---|\n";
 
   private final User user;
@@ -77,7 +77,7 @@
         spread(runs, "%.1f", r -> r.crossRegionBytes() / 1e6),
         spread(runs, "%.0f", Comparison::refused),
         spread(runs, "%.0f", ReplayReport::missing),
-        spread(runs, "%.0f", r -> r.timing().microsPerTry()) + " |\n");
+        spread(runs, "%.0f", r -> r.timing().decisionP99Micros()) + " |\n");
   }
 
   private static double refused(ReplayReport r) {
--- a/replay/src/main/java/org/mustardlatch/replay/Fleet.java
+++ b/replay/src/main/java/org/mustardlatch/replay/Fleet.java
@@ -8,7 +8,6 @@
 import java.util.function.BiConsumer;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
-import org.HdrHistogram.Histogram;
 import org.mustardlatch.core.model.HostId;
 import org.mustardlatch.core.routing.Member;
 import org.mustardlatch.core.routing.RoutingCommand;
@@ -25,7 +24,7 @@
   private final TimerService timers;
   private final RandomGenerator random;
   private final BiConsumer<ReplayNode, RoutingCommand> execute;
-  private final Histogram decisionNanos;
+  private final DecisionTimes times;
   private final Map<HostId, ReplayNode> nodes = new LinkedHashMap<>();
 
   Fleet(
@@ -34,13 +33,13 @@
       TimerService timers,
       RandomGenerator random,
       BiConsumer<ReplayNode, RoutingCommand> execute,
-      Histogram decisionNanos) {
+      DecisionTimes times) {
     this.deployment = deployment;
     this.factory = factory;
     this.timers = timers;
     this.random = random;
     this.execute = execute;
-    this.decisionNanos = decisionNanos;
+    this.times = times;
     deployment.nodes().forEach(this::start);
     publishMembers();
   }
@@ -83,7 +82,7 @@
 
   private void start(Member m) {
     RandomGenerator own = Randoms.seeded(random.nextLong());
-    ReplayNode n = new ReplayNode(m, factory.create(m, own), timers, execute, decisionNanos);
+    ReplayNode n = new ReplayNode(m, factory.create(m, own), timers, execute, times);
     nodes.put(m.host(), n);
     n.handle(new RoutingEvent.ManifestApplied(1, deployment.manifest()));
   }
--- a/replay/src/main/java/org/mustardlatch/replay/Measurement.java
+++ b/replay/src/main/java/org/mustardlatch/replay/Measurement.java
@@ -35,7 +35,7 @@
     this.crossBytes = crossBytes;
   }
 
-  ReplayReport report(Histogram decisionNanos, Map<String, Integer> rules) {
+  ReplayReport report(DecisionTimes times, Map<String, Integer> rules) {
     long firstMs = arrivals().mapToLong(TraceLine.Arrival::atMs).min().orElse(0);
     long lastMs = arrivals().mapToLong(TraceLine.Arrival::atMs).max().orElse(0) + 1;
     TraceLine.Crest whole = new TraceLine.Crest(firstMs, lastMs - firstMs);
@@ -78,7 +78,7 @@
         callers.refusals(),
         missing(),
         rules,
-        timing(decisionNanos));
+        times.timing(callers.tries().size()));
   }
 
   private Stream<TraceLine.Arrival> arrivals() {
@@ -122,12 +122,4 @@
             .count();
     return (int) without + callers.secondFinals();
   }
-
-  private ReplayReport.Timing timing(Histogram nanos) {
-    double sum = nanos.getMean() * nanos.getTotalCount();
-    return new ReplayReport.Timing(
-        sum / 1000 / Math.max(1, callers.tries().size()),
-        nanos.getValueAtPercentile(50) / 1000.0,
-        nanos.getValueAtPercentile(99) / 1000.0);
-  }
 }
--- a/replay/src/main/java/org/mustardlatch/replay/ReplayCommand.java
+++ b/replay/src/main/java/org/mustardlatch/replay/ReplayCommand.java
@@ -51,6 +51,9 @@
   @Option(name = "--seed", metaVar = "S", usage = "seed of all random numbers")
   private long seed = 1;
 
+  @Option(name = "--scale", metaVar = "N", usage = "engines of a user's deployment, times today's")
+  private int scale = 1;
+
   @Option(name = "--seeds", metaVar = "N", usage = "number of seeds to compare")
   private int seeds = 5;
 
@@ -122,7 +125,7 @@
   private Deployment deployment() throws IOException {
     for (User u : User.values()) {
       if (u.wireName().equals(manifest)) {
-        return u.deployment(objective(u));
+        return u.deployment(objective(u), scale);
       }
     }
     String text = Files.readString(Path.of(manifest));
--- a/replay/src/main/java/org/mustardlatch/replay/ReplayDriver.java
+++ b/replay/src/main/java/org/mustardlatch/replay/ReplayDriver.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.random.RandomGenerator;
-import org.HdrHistogram.Histogram;
 import org.mustardlatch.core.manifest.Manifest;
 import org.mustardlatch.core.manifest.Model;
 import org.mustardlatch.core.manifest.Upstream;
@@ -28,10 +27,8 @@
   /** Time after the last answer in which results of prefills expire. */
   private static final Duration SETTLE = Duration.ofSeconds(2);
 
-  private static final long HIGHEST_DECISION_NANOS = 10_000_000_000L;
-
   private final VirtualTimerService timers = new VirtualTimerService();
-  private final Histogram decisionNanos = new Histogram(HIGHEST_DECISION_NANOS, 3);
+  private final DecisionTimes times = new DecisionTimes();
   private final PrefillAccount account = new PrefillAccount();
   private final Map<UpstreamId, FakeEngine> engines = new LinkedHashMap<>();
   private final Manifest manifest;
@@ -52,7 +49,7 @@
       }
     }
     dispatcher = new Dispatcher(manifest, timers, network, engines);
-    fleet = new Fleet(deployment, factory, timers, random, this::execute, decisionNanos);
+    fleet = new Fleet(deployment, factory, timers, random, this::execute, times);
     callers = new Callers(timers, new EntryBalancer(fleet.nodes()), account);
   }
 
@@ -99,7 +96,7 @@
     }
     timers.advance(SETTLE);
     return new Measurement(manifest, trace, callers, account, network.cross().carriedBytes())
-        .report(decisionNanos, dispatcher.rules());
+        .report(times, dispatcher.rules());
   }
 
   private void reportLoads() {
--- a/replay/src/main/java/org/mustardlatch/replay/ReplayNode.java
+++ b/replay/src/main/java/org/mustardlatch/replay/ReplayNode.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BiConsumer;
-import org.HdrHistogram.Histogram;
 import org.mustardlatch.core.routing.Member;
 import org.mustardlatch.core.routing.RoutingCommand;
 import org.mustardlatch.core.routing.RoutingEvent;
@@ -20,7 +19,7 @@
   private final RoutingPolicy policy;
   private final TimerService timers;
   private final BiConsumer<ReplayNode, RoutingCommand> execute;
-  private final Histogram decisionNanos;
+  private final DecisionTimes times;
   private final Map<TimerKey, Long> pending = new HashMap<>();
   private long timerCount;
   private boolean alive = true;
@@ -29,19 +28,19 @@
    * Creates a live node.
    *
    * @param execute carries out the commands
-   * @param decisionNanos receives the processor time of each event, nanoseconds
+   * @param times receives the processor time of each event
    */
   ReplayNode(
       Member member,
       RoutingPolicy policy,
       TimerService timers,
       BiConsumer<ReplayNode, RoutingCommand> execute,
-      Histogram decisionNanos) {
+      DecisionTimes times) {
     this.member = member;
     this.policy = policy;
     this.timers = timers;
     this.execute = execute;
-    this.decisionNanos = decisionNanos;
+    this.times = times;
   }
 
   Member member() {
@@ -64,8 +63,7 @@
     List<RoutingCommand> commands = new ArrayList<>();
     long start = System.nanoTime();
     policy.handle(event, timers.nanos(), commands::add);
-    decisionNanos.recordValue(
-        Math.min(System.nanoTime() - start, decisionNanos.getHighestTrackableValue()));
+    times.record(event, System.nanoTime() - start);
     for (RoutingCommand c : commands) {
       switch (c) {
         case RoutingCommand.SetTimer t -> setTimer(t);
--- a/replay/src/main/java/org/mustardlatch/replay/ReplayReport.java
+++ b/replay/src/main/java/org/mustardlatch/replay/ReplayReport.java
@@ -73,15 +73,20 @@
         refusals,
         missing,
         rules,
-        new Timing(0, 0, 0));
+        new Timing(0, 0, 0, 0));
   }
 
   /**
-   * Processor time of the decisions, by the clock of the machine that ran the replay.
+   * Processor time of the policies, by the clock of the machine that ran the replay.
    *
-   * @param microsPerTry sum over all events per try
-   * @param eventP50Micros median of an event
-   * @param eventP99Micros 99th percentile of an event
+   * @param decisionMicros all decisions about requests, per try
+   * @param upkeepMicros tokens, load reports, listings, manifests and members, per try
+   * @param decisionP50Micros median of one decision
+   * @param decisionP99Micros 99th percentile of one decision
    */
-  public record Timing(double microsPerTry, double eventP50Micros, double eventP99Micros) {}
+  public record Timing(
+      double decisionMicros,
+      double upkeepMicros,
+      double decisionP50Micros,
+      double decisionP99Micros) {}
 }
--- a/replay/src/main/java/org/mustardlatch/replay/ReportWriter.java
+++ b/replay/src/main/java/org/mustardlatch/replay/ReportWriter.java
@@ -47,8 +47,11 @@
         t,
         "processor time",
         format(
-            "%.1f us a request, event %.1f us median, %.1f us 99th percentile",
-            r.timing().microsPerTry(), r.timing().eventP50Micros(), r.timing().eventP99Micros()));
+            "%.1f us a request, decision %.1f us median, %.1f us 99th percentile, upkeep %.1f us",
+            r.timing().decisionMicros(),
+            r.timing().decisionP50Micros(),
+            r.timing().decisionP99Micros(),
+            r.timing().upkeepMicros()));
     return t.toString();
   }
 
