--- a/replay/src/main/java/org/mustardlatch/replay/Comparison.java
+++ b/replay/src/main/java/org/mustardlatch/replay/Comparison.java
@@ -1,23 +1,22 @@
 package org.mustardlatch.replay;
 
 import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.function.Consumer;
-import java.util.function.ToDoubleFunction;
 import org.mustardlatch.core.manifest.Objective;
 
-/** Runs trace kinds for policies over several seeds and tabulates median and spread. */
+/** Runs trace kinds for policies over several seeds. */
 final class Comparison {
-  private static final String HEAD =
-      "| trace | policy | goodput/s | good % | crest/s | waste % | TTFT p99 ms | gap p99 ms"
-          + " | cross MB | refused | missing | decision p99 us |\n"
-          + "|---|---|---|---|---|---|---|---|---|---|---|---|\n";
-
   private final User user;
   private final Objective objective;
   private final int seeds;
   private final Consumer<String> progress;
+  private final Map<TraceKind, Map<String, List<ReplayReport>>> results =
+      new EnumMap<>(TraceKind.class);
 
   /**
    * Creates a comparison.
@@ -32,25 +31,25 @@
     this.progress = progress;
   }
 
-  /** Returns the table as Markdown: median, and least to greatest in brackets. */
-  String table(List<TraceKind> kinds, List<String> policies) {
-    StringBuilder table = new StringBuilder(HEAD);
+  /** Runs every kind with every policy. */
+  void run(List<TraceKind> kinds, List<String> policies) {
     int done = 0;
+    int all = kinds.size() * policies.size();
     for (TraceKind kind : kinds) {
+      Map<String, List<ReplayReport>> row = new LinkedHashMap<>();
+      results.put(kind, row);
       for (String policy : policies) {
         done++;
         progress.accept(
-            String.format(
-                Locale.ROOT,
-                "%d/%d %s %s",
-                done,
-                kinds.size() * policies.size(),
-                kind.wireName(),
-                policy));
-        table.append(row(kind, policy, runs(kind, policy)));
+            String.format(Locale.ROOT, "%d/%d %s %s", done, all, kind.wireName(), policy));
+        row.put(policy, runs(kind, policy));
       }
     }
-    return table.toString();
+  }
+
+  /** Returns the reports by kind and policy, one for each seed in order. */
+  Map<TraceKind, Map<String, List<ReplayReport>>> results() {
+    return results;
   }
 
   private List<ReplayReport> runs(TraceKind kind, String policy) {
@@ -62,34 +61,4 @@
     }
     return runs;
   }
-
-  private static String row(TraceKind kind, String policy, List<ReplayReport> runs) {
-    return String.join(
-        " | ",
-        "| " + kind.wireName(),
-        policy,
-        spread(runs, "%.1f", ReplayReport::goodput),
-        spread(runs, "%.0f", r -> 100 * r.goodShare()),
-        spread(runs, "%.1f", ReplayReport::crestGoodput),
-        spread(runs, "%.1f", r -> 100 * r.wasteShare()),
-        spread(runs, "%.0f", ReplayReport::firstTokenP99Ms),
-        spread(runs, "%.0f", ReplayReport::longestGapP99Ms),
-        spread(runs, "%.1f", r -> r.crossRegionBytes() / 1e6),
-        spread(runs, "%.0f", Comparison::refused),
-        spread(runs, "%.0f", ReplayReport::missing),
-        spread(runs, "%.0f", r -> r.timing().decisionP99Micros()) + " |\n");
-  }
-
-  private static double refused(ReplayReport r) {
-    return r.refusals().values().stream().mapToInt(Integer::intValue).sum();
-  }
-
-  private static String spread(
-      List<ReplayReport> runs, String pattern, ToDoubleFunction<ReplayReport> measure) {
-    double[] sorted = runs.stream().mapToDouble(measure).sorted().toArray();
-    String least = String.format(Locale.ROOT, pattern, sorted[0]);
-    String median = String.format(Locale.ROOT, pattern, sorted[sorted.length / 2]);
-    String most = String.format(Locale.ROOT, pattern, sorted[sorted.length - 1]);
-    return least.equals(most) ? median : median + " (" + least + "–" + most + ")";
-  }
 }
--- a/replay/src/main/java/org/mustardlatch/replay/Policies.java
+++ b/replay/src/main/java/org/mustardlatch/replay/Policies.java
@@ -6,10 +6,13 @@
 
 /** The policies that can be replayed, by name. */
 public final class Policies {
-  /** Names of all policies, baselines first. */
-  public static final List<String> NAMES =
+  /** Names of the baselines. */
+  public static final List<String> BASELINES =
       List.of("round-robin", "least-reported-load", "two-choice");
 
+  /** Names of all policies, baselines first. */
+  public static final List<String> NAMES = BASELINES;
+
   private Policies() {}
 
   /**
--- a/replay/src/main/java/org/mustardlatch/replay/ReplayCommand.java
+++ b/replay/src/main/java/org/mustardlatch/replay/ReplayCommand.java
@@ -148,7 +148,15 @@
     List<TraceKind> chosen = new ArrayList<>();
     split(kinds).forEach(k -> chosen.add(TraceKind.named(k)));
     List<TraceKind> all = chosen.isEmpty() ? Arrays.asList(TraceKind.values()) : chosen;
-    out.print(new Comparison(u, objective(u), seeds, err::println).table(all, policies));
+    Comparison comparison = new Comparison(u, objective(u), seeds, err::println);
+    comparison.run(all, policies);
+    out.print(ComparisonTable.of(comparison.results()));
+    for (String p : policies) {
+      if (policies.contains(Bounds.BASELINE) && !Policies.BASELINES.contains(p)) {
+        out.printf("%n%s against %s:%n%n", p, Bounds.BASELINE);
+        out.print(new Bounds(comparison.results(), p).table());
+      }
+    }
   }
 
   private Objective objective(User u) {
