--- /dev/null
+++ b/core/src/main/java/org/mustardlatch/core/ledger/LedgerCodec.java
@@ -0,0 +1,81 @@
+package org.mustardlatch.core.ledger;
+
+import com.fasterxml.jackson.core.io.JsonStringEncoder;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+
+/** The JSON form of a shard; docs/design.md 4.4 documents it. */
+final class LedgerCodec {
+  private static final int FORMAT = 1;
+
+  private LedgerCodec() {}
+
+  static ObjectNode encode(LedgerShard shard) {
+    ObjectNode node = JsonNodeFactory.instance.objectNode().put("format", FORMAT);
+    ArrayNode recent = node.putArray("recent");
+    for (LedgerRecord r : shard.recent().values()) {
+      ObjectNode o = recent.addObject();
+      o.put("key", r.key().digest()).put("request", r.request()).put("state", r.state().name());
+      o.put("nonce", r.nonce()).put("host", r.host()).put("incarnation", r.incarnation());
+      o.put("started", r.startedSeconds()).put("changed", r.changedSeconds());
+      o.put("status", r.status());
+      if (r.answer() != null) {
+        o.put("answer", r.answer());
+      }
+    }
+    ArrayNode older = node.putArray("older");
+    shard.older().values().forEach(r -> older.add(r.encode()));
+    return node;
+  }
+
+  /**
+   * Reads a shard.
+   *
+   * @throws IllegalArgumentException when the content is of another format; nothing may be written
+   *     over it then
+   */
+  static LedgerShard decode(JsonNode node) {
+    if (node.path("format").asInt() != FORMAT) {
+      throw new IllegalArgumentException(
+          "ledger shard format must be " + FORMAT + ", got " + node.path("format"));
+    }
+    Map<LedgerKey, LedgerRecord> recent = new LinkedHashMap<>();
+    for (JsonNode o : node.path("recent")) {
+      LedgerRecord r = decodeRecord(o);
+      recent.put(r.key(), r);
+    }
+    Map<LedgerKey, CompactRecord> older = new LinkedHashMap<>();
+    for (JsonNode o : node.path("older")) {
+      CompactRecord r = CompactRecord.decode(o.asText());
+      older.put(r.key(), r);
+    }
+    return new LedgerShard(recent, older);
+  }
+
+  static int quotedBytes(String text) {
+    return JsonStringEncoder.getInstance().quoteAsUTF8(text).length;
+  }
+
+  private static LedgerRecord decodeRecord(JsonNode o) {
+    return new LedgerRecord(
+        new LedgerKey(o.path("key").asText()),
+        o.path("request").asText(),
+        RecordState.valueOf(o.path("state").asText()),
+        o.path("nonce").asText(),
+        o.path("host").asText(),
+        o.path("incarnation").asLong(),
+        o.path("started").asLong(),
+        o.path("changed").asLong(),
+        o.path("status").asInt(),
+        textOrNull(o.path("answer")));
+  }
+
+  private static @Nullable String textOrNull(JsonNode node) {
+    return node.isTextual() ? node.asText() : null;
+  }
+}
