Add LedgerService: keyed requests against the object service, direct writing

One thread per service runs the shard writers and keyed requests; callers get futures. A caller that leaves between the permission to dispatch and its claim is cancelled, so the key is free again. Ruled out: running a writer's answers inside its own turn, because an answer can lead to the next event for the same writer.

Forwarding to owners is not built yet.

--- /dev/null
+++ b/daemon/src/main/java/org/mustardlatch/daemon/ledger/KeyedCall.java
@@ -0,0 +1,96 @@
+package org.mustardlatch.daemon.ledger;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+import org.mustardlatch.core.ledger.KeyedEvent;
+import org.mustardlatch.core.ledger.KeyedReply;
+import org.mustardlatch.core.ledger.RunOutcome;
+
+/**
+ * One keyed request from begin to finish. Safe for use by several threads; no method blocks.
+ *
+ * <p>Use: when {@link #mayDispatch} completes with true and {@link #claimDispatch} returns true,
+ * send the request to the application exactly once and report its end with {@link #finish}. In
+ * every case answer the caller with what {@link #reply} completes with.
+ */
+public final class KeyedCall {
+  private final CompletableFuture<Boolean> mayDispatch = new CompletableFuture<>();
+  private final CompletableFuture<KeyedReply> reply = new CompletableFuture<>();
+  private final AtomicReference<State> state = new AtomicReference<>(State.OPEN);
+  private final long deadlineNanos;
+  private final Consumer<KeyedEvent> events;
+
+  private enum State {
+    OPEN,
+    CLAIMED,
+    CALLER_GONE
+  }
+
+  KeyedCall(long deadlineNanos, Consumer<KeyedEvent> events) {
+    this.deadlineNanos = deadlineNanos;
+    this.events = events;
+  }
+
+  /**
+   * Completes with true when the start record exists and the request is to be dispatched, and with
+   * false when it must not be dispatched. Never completes exceptionally.
+   */
+  public CompletableFuture<Boolean> mayDispatch() {
+    return mayDispatch;
+  }
+
+  /** Completes once with the answer for the caller. Never completes exceptionally. */
+  public CompletableFuture<KeyedReply> reply() {
+    return reply;
+  }
+
+  /**
+   * Returns true to exactly one call, unless the caller was reported gone before or the deadline
+   * has passed; then the request is cancelled. Ask right before sending.
+   */
+  public boolean claimDispatch() {
+    if (System.nanoTime() - deadlineNanos >= 0) {
+      callerGone();
+    }
+    return state.compareAndSet(State.OPEN, State.CLAIMED);
+  }
+
+  /**
+   * Reports that the caller closed its connection. A request that was not claimed yet is cancelled;
+   * a claimed one goes on and is recorded.
+   */
+  public void callerGone() {
+    if (state.compareAndSet(State.OPEN, State.CALLER_GONE)) {
+      events.accept(new KeyedEvent.CallerGone());
+    }
+  }
+
+  /**
+   * Reports the end of the dispatch; to be called exactly once after a successful {@link
+   * #claimDispatch}.
+   *
+   * @return the answer for the caller, the same as {@link #reply}
+   * @throws IllegalStateException when the dispatch was not claimed
+   */
+  public CompletableFuture<KeyedReply> finish(RunOutcome outcome) {
+    if (state.get() != State.CLAIMED) {
+      throw new IllegalStateException("finish without a claimed dispatch");
+    }
+    events.accept(new KeyedEvent.RunEnded(outcome));
+    return reply;
+  }
+
+  boolean callerIsGone() {
+    return state.get() == State.CALLER_GONE;
+  }
+
+  void completeReply(KeyedReply value) {
+    mayDispatch.complete(false);
+    reply.complete(value);
+  }
+
+  void completeDispatch() {
+    mayDispatch.complete(true);
+  }
+}
--- a/daemon/src/main/java/org/mustardlatch/daemon/log/LogEvent.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/log/LogEvent.java
@@ -14,6 +14,9 @@
   UNEXPECTED_ERROR(1006, Level.ERROR, "unexpected error in {}: {}"),
   MANIFEST_APPLIED(4001, Level.INFO, "manifest revision {} with digest {} is in force"),
   MANIFEST_REFUSED(4002, Level.WARN, "manifest refused with {} findings"),
+  LEDGER_STORE_FAILS(5001, Level.WARN, "object service fails for ledger shard {}: {}"),
+  LEDGER_STORE_BACK(5002, Level.INFO, "object service works again for ledger shard {}"),
+  LEDGER_WRITE_UNKNOWN(5003, Level.WARN, "result of a write of ledger shard {} is not known: {}"),
   UPSTREAM_ERROR(6001, Level.WARN, "upstream {} answered {} to attempt {}: {}"),
   UPSTREAM_CALL_BROKEN(6002, Level.WARN, "upstream {} broke off attempt {}: {}"),
   CANCEL_NOT_ACKNOWLEDGED(6003, Level.WARN, "upstream {} did not acknowledge cancel of {}");
--- /dev/null
+++ b/daemon/src/test/java/org/mustardlatch/daemon/ledger/LedgerServiceTest.java
@@ -0,0 +1,185 @@
+package org.mustardlatch.daemon.ledger;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.net.URI;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.mustardlatch.core.ledger.KeyedPolicy;
+import org.mustardlatch.core.ledger.KeyedReply;
+import org.mustardlatch.core.ledger.LedgerKey;
+import org.mustardlatch.core.ledger.LedgerLimits;
+import org.mustardlatch.core.ledger.RunOutcome;
+import org.mustardlatch.core.model.HostId;
+import org.mustardlatch.core.model.WorkspaceId;
+import org.mustardlatch.core.routing.Member;
+import org.mustardlatch.daemon.node.EventLoop;
+import org.mustardlatch.daemon.node.Membership;
+import org.mustardlatch.daemon.store.ObjectStoreClient;
+import org.mustardlatch.daemon.store.ObjectStoreTimeouts;
+import org.mustardlatch.standin.ObjectServiceFaults;
+import org.mustardlatch.standin.ObjectServiceStandin;
+
+/** Guards against second runs and false refusals with a real client and object service stand-in. */
+class LedgerServiceTest {
+  private static final WorkspaceId WORKSPACE = new WorkspaceId("tinta");
+  private static final Duration LONG = Duration.ofSeconds(30);
+  private static final InstantSource WALL = () -> Instant.ofEpochSecond(1_800_000_000L);
+  private static final Membership ALONE =
+      new Membership() {
+        @Override
+        public List<Member> live() {
+          return List.of();
+        }
+
+        @Override
+        public long incarnation() {
+          return 1;
+        }
+      };
+
+  private final EventLoop timers = new EventLoop("test");
+  private final ObjectServiceStandin standin = new ObjectServiceStandin().start(0);
+  private final List<ObjectStoreClient> clients = new ArrayList<>();
+  private final List<LedgerService> services = new ArrayList<>();
+  private final LedgerService a = node("a");
+  private final LedgerService b = node("b");
+
+  @AfterEach
+  void stop() {
+    services.forEach(LedgerService::stop);
+    clients.forEach(ObjectStoreClient::close);
+    standin.close();
+    timers.stop();
+  }
+
+  @Test
+  void repeatAtAnotherNodeGetsTheRecordedAnswerAndDoesNotRun() throws Exception {
+    assertThat(run(a, "k", "d", new RunOutcome.Answered(201, "done")))
+        .isEqualTo(new KeyedReply.Ran());
+    KeyedCall repeat = begin(b, "k", "d");
+    assertThat(get(repeat.mayDispatch())).isFalse();
+    assertThat(get(repeat.reply())).isEqualTo(new KeyedReply.Recorded(201, "done"));
+  }
+
+  @Test
+  void repeatWhileTheFirstIsRunningIsInProgressAndOtherContentIsReuse() throws Exception {
+    KeyedCall first = begin(a, "k", "d");
+    assertThat(get(first.mayDispatch())).isTrue();
+    assertThat(get(begin(b, "k", "d").reply())).isInstanceOf(KeyedReply.InProgress.class);
+    assertThat(get(begin(b, "k", "other").reply())).isEqualTo(new KeyedReply.KeyReused());
+  }
+
+  @Test
+  void lostAnswersOfStartAndFinishStillGiveOneRunWithItsAnswer() throws Exception {
+    standin.setFaults(ObjectServiceFaults.lostAnswers(1));
+    KeyedCall call = begin(a, "k", "d");
+    assertThat(get(call.mayDispatch())).isTrue();
+    assertThat(call.claimDispatch()).isTrue();
+    standin.setFaults(ObjectServiceFaults.lostAnswers(1));
+    assertThat(get(call.finish(new RunOutcome.Answered(200, "x")))).isEqualTo(new KeyedReply.Ran());
+    assertThat(get(a.drain(LONG))).isTrue();
+    assertThat(get(begin(b, "k", "d").reply())).isEqualTo(new KeyedReply.Recorded(200, "x"));
+  }
+
+  @Test
+  void outageRefusesAsNotRunAndTheSameKeyRunsAfterwards() throws Exception {
+    standin.setFaults(ObjectServiceFaults.DOWN);
+    assertThat(get(begin(a, "k", "d").reply())).isInstanceOf(KeyedReply.NotRun.class);
+    standin.setFaults(ObjectServiceFaults.NONE);
+    assertThat(run(b, "k", "d", new RunOutcome.Answered(200, "x"))).isEqualTo(new KeyedReply.Ran());
+  }
+
+  @Test
+  void callerThatLeavesBeforeTheClaimFreesTheKey() throws Exception {
+    KeyedCall first = begin(a, "k", "d");
+    assertThat(get(first.mayDispatch())).isTrue();
+    first.callerGone();
+    assertThat(first.claimDispatch()).isFalse();
+    assertThat(get(first.reply())).isInstanceOf(KeyedReply.NotRun.class);
+    assertThat(run(b, "k", "d", new RunOutcome.Answered(200, "x"))).isEqualTo(new KeyedReply.Ran());
+  }
+
+  @Test
+  void requestThatWasNotSentIsNotRunAndFreesTheKey() throws Exception {
+    assertThat(run(a, "k", "d", new RunOutcome.NotSent())).isInstanceOf(KeyedReply.NotRun.class);
+    assertThat(run(a, "k", "d", new RunOutcome.Answered(200, "x"))).isEqualTo(new KeyedReply.Ran());
+  }
+
+  @Test
+  void unknownOutcomeStaysUnknownForRepeats() throws Exception {
+    assertThat(run(a, "k", "d", new RunOutcome.Unknown()))
+        .isEqualTo(new KeyedReply.OutcomeUnknown());
+    assertThat(get(a.drain(LONG))).isTrue();
+    assertThat(get(begin(b, "k", "d").reply())).isEqualTo(new KeyedReply.OutcomeUnknown());
+  }
+
+  @Test
+  void oldUuidOfVersionSevenIsRefusedAsExpired() throws Exception {
+    assertThat(get(begin(a, "01890a5d-ac96-774b-bcce-b302099a8057", "d").reply()))
+        .isEqualTo(new KeyedReply.KeyExpired());
+  }
+
+  @Test
+  void startsThatArriveDuringAWriteShareTheNextOne() throws Exception {
+    standin.setFaults(ObjectServiceFaults.slow(100));
+    List<KeyedCall> calls = new ArrayList<>();
+    for (int i = 0; calls.size() < 40; i++) {
+      String key = "k" + i;
+      if (LedgerKey.of(WORKSPACE, key).shard() == 7) {
+        calls.add(begin(a, key, "d"));
+      }
+    }
+    for (KeyedCall call : calls) {
+      assertThat(get(call.mayDispatch())).isTrue();
+    }
+    assertThat(standin.calls("put")).isAtMost(3);
+  }
+
+  private static KeyedReply run(LedgerService node, String key, String digest, RunOutcome outcome)
+      throws Exception {
+    KeyedCall call = begin(node, key, digest);
+    assertThat(get(call.mayDispatch())).isTrue();
+    assertThat(call.claimDispatch()).isTrue();
+    assertThat(call.claimDispatch()).isFalse();
+    return get(call.finish(outcome));
+  }
+
+  private static KeyedCall begin(LedgerService node, String key, String digest) {
+    return node.begin(WORKSPACE, key, digest, System.nanoTime() + LONG.toNanos());
+  }
+
+  private LedgerService node(String name) {
+    ObjectStoreClient client =
+        new ObjectStoreClient(
+            URI.create(standin.url()),
+            new ObjectStoreTimeouts(
+                Duration.ofSeconds(5), Duration.ofSeconds(10), LONG, Duration.ofMillis(20)),
+            timers);
+    clients.add(client);
+    LedgerService service =
+        new LedgerService(
+            new HostId(name),
+            ALONE,
+            client,
+            () -> LedgerLimits.of(Duration.ofHours(24), 300),
+            KeyedPolicy.DEFAULT,
+            WALL,
+            new SecureRandom());
+    services.add(service);
+    service.start();
+    return service;
+  }
+
+  private static <T> T get(CompletableFuture<T> future) throws Exception {
+    return future.get(40, TimeUnit.SECONDS);
+  }
+}
--- a/daemon/src/test/java/org/mustardlatch/daemon/store/ManifestStoreTest.java
+++ b/daemon/src/test/java/org/mustardlatch/daemon/store/ManifestStoreTest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.mustardlatch.daemon.node.EventLoop;
 import org.mustardlatch.standin.ObjectServiceFaults;
 import org.mustardlatch.standin.ObjectServiceStandin;
 
@@ -24,7 +25,7 @@
           Duration.ofSeconds(5),
           Duration.ofMillis(20));
 
-  private final ExecutorTimers timers = new ExecutorTimers();
+  private final EventLoop timers = new EventLoop("test");
   private final ObjectServiceStandin standin = new ObjectServiceStandin().start(0);
   private final ObjectStoreClient client =
       new ObjectStoreClient(URI.create(standin.url()), TIMEOUTS, timers);
@@ -34,7 +35,7 @@
   void stop() {
     client.close();
     standin.close();
-    timers.close();
+    timers.stop();
   }
 
   @Test
--- a/daemon/src/test/java/org/mustardlatch/daemon/store/ObjectStoreClientTest.java
+++ b/daemon/src/test/java/org/mustardlatch/daemon/store/ObjectStoreClientTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.mustardlatch.core.time.TimerSubscription;
+import org.mustardlatch.daemon.node.EventLoop;
 import org.mustardlatch.standin.ObjectServiceFaults;
 import org.mustardlatch.standin.ObjectServiceStandin;
 
@@ -26,7 +27,7 @@
           Duration.ofSeconds(5),
           Duration.ofMillis(20));
 
-  private final ExecutorTimers timers = new ExecutorTimers();
+  private final EventLoop timers = new EventLoop("test");
   private final ObjectServiceStandin standin = new ObjectServiceStandin().start(0);
   private ObjectStoreClient client;
 
@@ -39,7 +40,7 @@
   void stop() {
     client.close();
     standin.close();
-    timers.close();
+    timers.stop();
   }
 
   @Test
