--- a/daemon/src/main/java/org/mustardlatch/daemon/Daemon.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/Daemon.java
@@ -2,6 +2,7 @@
 
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
@@ -15,13 +16,16 @@
 import org.mustardlatch.daemon.node.AppliedManifest;
 import org.mustardlatch.daemon.node.EventLoop;
 import org.mustardlatch.daemon.node.ManifestInForce;
+import org.mustardlatch.daemon.node.ManifestService;
 import org.mustardlatch.daemon.node.Membership;
 import org.mustardlatch.daemon.node.NodeState;
-import org.mustardlatch.daemon.operator.LocalPublisher;
 import org.mustardlatch.daemon.operator.NodeViews;
 import org.mustardlatch.daemon.operator.OperatorApi;
 import org.mustardlatch.daemon.operator.RequestMetrics;
 import org.mustardlatch.daemon.routing.RoutingService;
+import org.mustardlatch.daemon.store.ManifestStore;
+import org.mustardlatch.daemon.store.ObjectStoreClient;
+import org.mustardlatch.daemon.store.ObjectStoreTimeouts;
 import org.mustardlatch.daemon.upstream.EngineCalls;
 import org.mustardlatch.daemon.upstream.Owner;
 import org.mustardlatch.daemon.upstream.UpstreamHosts;
@@ -37,6 +41,8 @@
   private final ManifestInForce manifest = new ManifestInForce();
   private final UpstreamHosts hosts = new UpstreamHosts();
   private final Membership members;
+  private final ObjectStoreClient store;
+  private final ManifestService manifests;
   private final RoutingService routing;
   private final CallerApi callers;
   private final OperatorApi operators;
@@ -50,6 +56,9 @@
   public Daemon(Settings settings, RoutingPolicy policy) {
     this.settings = settings;
     this.members = new SingleNode(settings);
+    this.store = new ObjectStoreClient(settings.objectService(), ObjectStoreTimeouts.DEFAULT, loop);
+    this.manifests =
+        new ManifestService(new ManifestStore(store, loop, new SecureRandom()), manifest, loop);
     PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     RequestMetrics metrics = new RequestMetrics(registry);
     Owner owner = new Owner(settings.host(), members::incarnation);
@@ -63,7 +72,7 @@
             state,
             manifest,
             new NodeViews(settings, state, manifest, members, routing, engines),
-            new LocalPublisher(manifest),
+            manifests,
             this::drain,
             registry);
   }
@@ -73,6 +82,8 @@
     EventLog.log(LogEvent.DAEMON_STARTING, settings.host(), settings.zone(), members.incarnation());
     var unused = manifest.changes().subscribe(this::apply);
     post(new RoutingEvent.MembersChanged(members.live()));
+    manifests.start();
+    manifests.watch(true);
     operators.start();
     callers.start();
   }
@@ -95,6 +106,8 @@
     state.enter(NodeState.Phase.STOPPED);
     callers.stop();
     operators.stop();
+    manifests.stop();
+    store.close();
     loop.stop();
     calls.shutdownNow();
   }
--- /dev/null
+++ b/daemon/src/main/java/org/mustardlatch/daemon/Main.java
@@ -0,0 +1,113 @@
+package org.mustardlatch.daemon;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.mustardlatch.core.error.ErrorCode;
+import org.mustardlatch.core.error.MustardlatchException;
+import org.mustardlatch.core.error.ParseResult;
+import org.mustardlatch.core.settings.Settings;
+import org.mustardlatch.core.settings.SettingsParser;
+import org.mustardlatch.daemon.log.EventLog;
+import org.mustardlatch.daemon.log.LogEvent;
+
+/** Entry point of the daemon. Exit codes: 0 stopped gracefully, 1 failure, 2 usage or settings. */
+public final class Main {
+  static final int EXIT_OK = 0;
+  static final int EXIT_FAILURE = 1;
+  static final int EXIT_USAGE = 2;
+
+  private static final String DEVELOPMENT_VERSION = "0.1.0";
+
+  private Main() {}
+
+  /** Runs a node until it has stopped gracefully. */
+  public static void main(String[] args) {
+    System.exit(run(args, System.out, System.err));
+  }
+
+  static int run(String[] args, PrintStream out, PrintStream err) {
+    MainOptions options = new MainOptions();
+    CmdLineParser parser = new CmdLineParser(options);
+    try {
+      parser.parseArgument(args);
+    } catch (CmdLineException e) {
+      err.println("error: " + e.getMessage());
+      parser.printUsage(err);
+      return EXIT_USAGE;
+    }
+    if (options.help()) {
+      out.println("usage: mustardlatchd --config FILE");
+      parser.printUsage(out);
+      return EXIT_OK;
+    }
+    if (options.version()) {
+      String version = Main.class.getPackage().getImplementationVersion();
+      out.println("mustardlatchd " + (version == null ? DEVELOPMENT_VERSION : version));
+      return EXIT_OK;
+    }
+    if (options.config().isEmpty()) {
+      err.println("error: option --config is required");
+      parser.printUsage(err);
+      return EXIT_USAGE;
+    }
+    return runNode(Path.of(options.config()), err);
+  }
+
+  private static int runNode(Path file, PrintStream err) {
+    Settings settings;
+    try {
+      settings = read(file);
+    } catch (IOException | MustardlatchException e) {
+      EventLog.log(LogEvent.SETTINGS_INVALID, file);
+      err.println(
+          e instanceof IOException ? "error: can't read " + file + ": " + e : e.getMessage());
+      return EXIT_USAGE;
+    }
+    long startNanos = System.nanoTime();
+    Daemon daemon = new Daemon(settings, RoutingPolicies.create(settings));
+    try {
+      daemon.start();
+      stopOnSignal(daemon);
+      daemon.awaitDrained();
+      daemon.stop();
+    } catch (InterruptedException | RuntimeException e) {
+      EventLog.log(LogEvent.UNEXPECTED_ERROR, "start", e);
+      return EXIT_FAILURE;
+    }
+    EventLog.log(LogEvent.DAEMON_STOPPED, (System.nanoTime() - startNanos) / 1_000_000);
+    return EXIT_OK;
+  }
+
+  private static Settings read(Path file) throws IOException {
+    String text = Files.readString(file, StandardCharsets.UTF_8);
+    ParseResult<Settings> result = SettingsParser.parse(file.toString(), text);
+    return result.orThrow(ErrorCode.SETTINGS_INVALID);
+  }
+
+  /**
+   * Stops gracefully on SIGTERM and SIGINT. The hook ends the process itself, because after a
+   * signal the exit code would not be 0 otherwise.
+   */
+  private static void stopOnSignal(Daemon daemon) {
+    Thread hook =
+        new Thread(
+            () -> {
+              daemon.drain();
+              try {
+                daemon.awaitDrained();
+              } catch (InterruptedException e) {
+                Runtime.getRuntime().halt(EXIT_FAILURE);
+              }
+              daemon.stop();
+              System.out.flush();
+              Runtime.getRuntime().halt(EXIT_OK);
+            },
+            "signal");
+    Runtime.getRuntime().addShutdownHook(hook);
+  }
+}
--- a/daemon/src/main/java/org/mustardlatch/daemon/log/LogEvent.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/log/LogEvent.java
@@ -13,7 +13,7 @@
   SETTINGS_INVALID(1005, Level.ERROR, "settings file is not usable: {}"),
   UNEXPECTED_ERROR(1006, Level.ERROR, "unexpected error in {}: {}"),
   MANIFEST_APPLIED(4001, Level.INFO, "manifest revision {} with digest {} is in force"),
-  MANIFEST_REFUSED(4002, Level.WARN, "manifest refused with {} findings"),
+  MANIFEST_REFUSED(4002, Level.WARN, "manifest refused: {}"),
   UPSTREAM_ERROR(6001, Level.WARN, "upstream {} answered {} to attempt {}: {}"),
   UPSTREAM_CALL_BROKEN(6002, Level.WARN, "upstream {} broke off attempt {}: {}"),
   CANCEL_NOT_ACKNOWLEDGED(6003, Level.WARN, "upstream {} did not acknowledge cancel of {}");
--- a/daemon/src/main/java/org/mustardlatch/daemon/operator/ManifestPublisher.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/node/ManifestPublisher.java
@@ -1,4 +1,4 @@
-package org.mustardlatch.daemon.operator;
+package org.mustardlatch.daemon.node;
 
 import org.mustardlatch.core.error.ErrorCode;
 import org.mustardlatch.core.error.MustardlatchException;
--- a/daemon/src/main/java/org/mustardlatch/daemon/operator/OperatorApi.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/operator/OperatorApi.java
@@ -15,6 +15,7 @@
 import org.mustardlatch.daemon.log.LogEvent;
 import org.mustardlatch.daemon.node.HttpServer;
 import org.mustardlatch.daemon.node.ManifestInForce;
+import org.mustardlatch.daemon.node.ManifestPublisher;
 import org.mustardlatch.daemon.node.NodeState;
 import org.mustardlatch.daemon.routing.ExplainLog;
 
--- a/daemon/src/test/java/org/mustardlatch/daemon/Fleet.java
+++ b/daemon/src/test/java/org/mustardlatch/daemon/Fleet.java
@@ -11,6 +11,7 @@
 import org.mustardlatch.core.settings.SettingsParser;
 import org.mustardlatch.standin.EngineOptions;
 import org.mustardlatch.standin.EngineStandin;
+import org.mustardlatch.standin.ObjectServiceStandin;
 
 /** A daemon with stand-in engines inside the test's process, on loopback ports chosen at start. */
 final class Fleet implements AutoCloseable {
@@ -20,13 +21,15 @@
 
   private final List<EngineStandin> engines = new ArrayList<>();
   private final StringBuilder upstreams = new StringBuilder();
+  private final ObjectServiceStandin store = new ObjectServiceStandin();
   private final Daemon daemon;
 
   Fleet(EngineOptions... options) {
     for (EngineOptions option : options) {
       add(option);
     }
-    daemon = new Daemon(settings("entry-1", 0), new DirectPolicy());
+    store.start(0);
+    daemon = new Daemon(settings("entry-1", store.url(), 0), new DirectPolicy());
     daemon.start();
     publish("");
   }
@@ -67,6 +70,7 @@
   public void close() {
     daemon.stop();
     engines.forEach(EngineStandin::stop);
+    store.close();
   }
 
   private void add(EngineOptions options) {
@@ -111,7 +115,7 @@
         .formatted(KEY_SHA256, upstreams);
   }
 
-  static Settings settings(String host, int drainDelayMillis) {
+  static Settings settings(String host, String store, int drainDelayMillis) {
     return SettingsParser.parse(
             "test.toml",
             """
@@ -124,11 +128,11 @@
             peer_address = "127.0.0.1:0"
             drain_delay_ms = %d
             [object_service]
-            url = "http://127.0.0.1:1"
+            url = "%s"
             [tls]
             mode = "plain"
             """
-                .formatted(host, drainDelayMillis))
+                .formatted(host, drainDelayMillis, store))
         .orThrow(ErrorCode.SETTINGS_INVALID);
   }
 }
--- a/standin/src/main/java/org/mustardlatch/standin/StandinServer.java
+++ b/standin/src/main/java/org/mustardlatch/standin/StandinServer.java
@@ -13,6 +13,8 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
+import org.eclipse.jetty.ee10.servlet.ServletContextRequest;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.server.Connector;
 import org.jspecify.annotations.Nullable;
@@ -81,6 +83,15 @@
     return silentPeerPorts.contains(ctx.req().getRemotePort());
   }
 
+  /** Closes the connection of a call without an answer. */
+  void breakConnection(Context ctx) {
+    ServletContextRequest.getServletContextRequest(ctx.req())
+        .getConnectionMetaData()
+        .getConnection()
+        .getEndPoint()
+        .close();
+  }
+
   /** Blocks the calling handler until the server stops. */
   void holdUntilStop() throws InterruptedException {
     stopped.await();
@@ -106,7 +117,7 @@
     connectors(running).flatMap(c -> c.getConnectedEndPoints().stream()).forEach(EndPoint::close);
   }
 
-  private static java.util.stream.Stream<Connector> connectors(Javalin running) {
+  private static Stream<Connector> connectors(Javalin running) {
     return Arrays.stream(running.jettyServer().server().getConnectors());
   }
 
