--- a/replay/src/main/java/org/mustardlatch/replay/DecisionTimes.java
+++ b/replay/src/main/java/org/mustardlatch/replay/DecisionTimes.java
@@ -5,7 +5,7 @@
 
 /**
  * Processor time of policies. Events that concern one request at a step of its way are decisions;
- * tokens, load reports, listings, manifests and members are upkeep.
+ * tokens, load reports, listings, manifests, members and timers are upkeep.
  */
 final class DecisionTimes {
   private static final long HIGHEST_NANOS = 10_000_000_000L;
@@ -20,6 +20,7 @@
       case RoutingEvent.LoadReported e -> upkeepNanos += nanos;
       case RoutingEvent.HeldAttemptsListed e -> upkeepNanos += nanos;
       case RoutingEvent.ManifestApplied e -> upkeepNanos += nanos;
+      case RoutingEvent.TimerFired e -> upkeepNanos += nanos;
       case RoutingEvent.MembersChanged e -> upkeepNanos += nanos;
       default -> {
         decisionNanos += nanos;
--- a/replay/src/main/java/org/mustardlatch/replay/Network.java
+++ b/replay/src/main/java/org/mustardlatch/replay/Network.java
@@ -22,7 +22,7 @@
   static final Duration CROSS_LATENCY = Duration.ofMillis(25);
 
   /** A region's link carries this many times what its prefill engines export at full rate. */
-  private static final double LINK_HEADROOM = 2;
+  private static final double LINK_HEADROOM = 4;
 
   private final TimerService timers;
   private final Map<String, FakeLink> links = new LinkedHashMap<>();
--- a/replay/src/main/java/org/mustardlatch/replay/Policies.java
+++ b/replay/src/main/java/org/mustardlatch/replay/Policies.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.function.Function;
 import java.util.random.RandomGenerator;
+import org.mustardlatch.core.routing.NodeRouter;
 
 /** The policies that can be replayed, by name. */
 public final class Policies {
@@ -11,7 +12,8 @@
       List.of("round-robin", "least-reported-load", "two-choice");
 
   /** Names of all policies, baselines first. */
-  public static final List<String> NAMES = BASELINES;
+  public static final List<String> NAMES =
+      List.of("round-robin", "least-reported-load", "two-choice", "mustardlatch");
 
   private Policies() {}
 
@@ -25,6 +27,8 @@
       case "round-robin" -> baseline(EngineChooser::roundRobin);
       case "least-reported-load" -> baseline(EngineChooser::leastLoad);
       case "two-choice" -> baseline(EngineChooser::twoChoice);
+      case "mustardlatch" ->
+          (self, random) -> new NodeRouter(self.host(), self.region(), self.incarnation(), random);
       default ->
           throw new IllegalArgumentException(
               "policy \"" + name + "\" does not exist; one of " + NAMES);
--- a/replay/src/main/java/org/mustardlatch/replay/ReplayCommand.java
+++ b/replay/src/main/java/org/mustardlatch/replay/ReplayCommand.java
@@ -51,7 +51,7 @@
   @Option(name = "--seed", metaVar = "S", usage = "seed of all random numbers")
   private long seed = 1;
 
-  @Option(name = "--scale", metaVar = "N", usage = "engines of a user's deployment, times today's")
+  @Option(name = "--scale", metaVar = "N", usage = "engines or load of a user, times today's")
   private int scale = 1;
 
   @Option(name = "--seeds", metaVar = "N", usage = "number of seeds to compare")
@@ -135,7 +135,7 @@
 
   private void generate() throws IOException {
     List<TraceLine> trace =
-        TraceGenerator.generate(User.named(user), TraceKind.named(subject), seed);
+        TraceGenerator.generate(User.named(user), TraceKind.named(subject), seed, scale);
     if (output == null) {
       throw new IllegalArgumentException("generate needs --out FILE");
     }
--- a/replay/src/main/java/org/mustardlatch/replay/ReplayReport.java
+++ b/replay/src/main/java/org/mustardlatch/replay/ReplayReport.java
@@ -80,7 +80,7 @@
    * Processor time of the policies, by the clock of the machine that ran the replay.
    *
    * @param decisionMicros all decisions about requests, per try
-   * @param upkeepMicros tokens, load reports, listings, manifests and members, per try
+   * @param upkeepMicros tokens, load reports, listings, manifests, members and timers, per try
    * @param decisionP50Micros median of one decision
    * @param decisionP99Micros 99th percentile of one decision
    */
--- a/replay/src/main/java/org/mustardlatch/replay/TraceGenerator.java
+++ b/replay/src/main/java/org/mustardlatch/replay/TraceGenerator.java
@@ -18,11 +18,13 @@
 
   private final User user;
   private final TraceKind kind;
+  private final int scale;
   private final RandomGenerator random;
 
-  private TraceGenerator(User user, TraceKind kind, long seed) {
+  private TraceGenerator(User user, TraceKind kind, long seed, int scale) {
     this.user = user;
     this.kind = kind;
+    this.scale = scale;
     this.random = Randoms.seeded(seed);
   }
 
@@ -32,13 +34,18 @@
    * @param seed the same seed gives the same trace
    */
   public static List<TraceLine> generate(User user, TraceKind kind, long seed) {
-    return new TraceGenerator(user, kind, seed).lines();
+    return generate(user, kind, seed, 1);
+  }
+
+  /** Generates a trace with the given multiple of the load, for a deployment of that size. */
+  static List<TraceLine> generate(User user, TraceKind kind, long seed, int scale) {
+    return new TraceGenerator(user, kind, seed, scale).lines();
   }
 
   private List<TraceLine> lines() {
     List<TraceLine> lines = new ArrayList<>(faults());
     lines.add(crest());
-    user.sites().forEach(site -> addArrivals(lines, site, share(site)));
+    user.sites().forEach(site -> addArrivals(lines, site, scale * share(site)));
     lines.sort(Comparator.comparingLong(TraceLine::atMs));
     return List.copyOf(lines);
   }
