--- /dev/null
+++ b/core/src/main/java/org/mustardlatch/core/membership/MemberList.java
@@ -0,0 +1,21 @@
+package org.mustardlatch.core.membership;
+
+import java.util.List;
+import java.util.Set;
+import org.mustardlatch.core.model.RegionId;
+import org.mustardlatch.core.routing.Member;
+
+/**
+ * The live nodes as one node sees them.
+ *
+ * @param members this node and all others that are not dead and have not left, by host name;
+ *     includes suspected nodes and, for the first 60 s, those of unreachable regions
+ * @param unreachableRegions regions from which nothing is heard
+ */
+public record MemberList(List<Member> members, Set<RegionId> unreachableRegions) {
+  /** Copies the collections. */
+  public MemberList {
+    members = List.copyOf(members);
+    unreachableRegions = Set.copyOf(unreachableRegions);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/mustardlatch/core/membership/NodeState.java
@@ -0,0 +1,207 @@
+package org.mustardlatch.core.membership;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+import org.mustardlatch.core.model.HostId;
+import org.mustardlatch.core.model.RegionId;
+import org.mustardlatch.core.peer.MembershipMessage;
+import org.mustardlatch.core.peer.MembershipMessage.Rumor;
+import org.mustardlatch.core.peer.MembershipMessage.State;
+import org.mustardlatch.core.routing.Member;
+
+/** The state that the parts of {@link Membership} share, and the messages made from it. */
+final class NodeState {
+  final NodeIdentity self;
+  final Map<HostId, Peer> peers = new TreeMap<>();
+  final Overlay overlay = new Overlay();
+  final RumorQueue rumors = new RumorQueue();
+  final RegionWatch regions = new RegionWatch();
+  long incarnation;
+  long counter;
+  long revision;
+  boolean leaving;
+  long selfNewsUntilNanos;
+
+  /** Whether the list of live nodes may differ from the one reported last. */
+  boolean membersDirty;
+
+  private long heartbeats;
+  private List<HostId> observers = List.of();
+  private Set<HostId> observed = Set.of();
+  private Set<HostId> neighbours = Set.of();
+  private boolean overlayChanged;
+
+  NodeState(NodeIdentity self, long incarnation) {
+    this.self = self;
+    this.incarnation = incarnation;
+    overlay.add(self.host(), self.region());
+  }
+
+  Rumor selfRumor() {
+    return new Rumor(
+        self.host(),
+        self.region(),
+        self.zone(),
+        self.address(),
+        incarnation,
+        counter,
+        leaving ? State.LEFT : State.ALIVE);
+  }
+
+  /** This node's own rumor changed and must be spread. */
+  void selfChanged(long now) {
+    rumors.add(selfRumor());
+    membersDirty = true;
+    selfNewsUntilNanos = now + MembershipTimes.SELF_NEWS;
+  }
+
+  /** Returns the number of live nodes, this one included. */
+  int size() {
+    return 1 + (int) peers.values().stream().filter(Peer::live).count();
+  }
+
+  void overlayAdd(Peer p) {
+    overlay.add(p.host(), p.rumor.region());
+    overlayChanged = true;
+    membersDirty = true;
+  }
+
+  void overlayRemove(Peer p) {
+    overlay.remove(p.host());
+    overlayChanged = true;
+    membersDirty = true;
+  }
+
+  /** Recomputes the neighbours when the overlay changed; silence of new ones counts from now. */
+  void refreshOverlay(long now) {
+    if (!overlayChanged) {
+      return;
+    }
+    overlayChanged = false;
+    observers = overlay.observersOf(self.host());
+    observed = overlay.observedBy(self.host());
+    Set<HostId> all = new LinkedHashSet<>(observers);
+    all.addAll(observed);
+    for (HostId h : all) {
+      Peer p = peers.get(h);
+      if (p != null && !neighbours.contains(h)) {
+        p.heardNanos = now;
+      }
+    }
+    neighbours = all;
+  }
+
+  List<HostId> observers() {
+    return observers;
+  }
+
+  Collection<Peer> observed() {
+    return lookUp(observed);
+  }
+
+  Collection<Peer> neighbours() {
+    return lookUp(neighbours);
+  }
+
+  boolean isNeighbour(HostId host) {
+    return neighbours.contains(host);
+  }
+
+  private List<Peer> lookUp(Collection<HostId> hosts) {
+    List<Peer> found = new ArrayList<>(hosts.size());
+    for (HostId h : hosts) {
+      Peer p = peers.get(h);
+      if (p != null) {
+        found.add(p);
+      }
+    }
+    return found;
+  }
+
+  void sendHeartbeat(Peer to, long now, Consumer<MembershipCommand> out) {
+    out.accept(
+        new MembershipCommand.Send(
+            to.host(),
+            to.rumor.address(),
+            new MembershipMessage.Heartbeat(++heartbeats, revision, news(to, now))));
+  }
+
+  void sendAck(HostId to, long sequence, long now, Consumer<MembershipCommand> out) {
+    Peer p = peers.get(to);
+    out.accept(
+        new MembershipCommand.Send(
+            to,
+            p == null ? null : p.rumor.address(),
+            new MembershipMessage.HeartbeatAck(sequence, revision, news(p, now))));
+  }
+
+  /** Returns the rumors that the next message to a peer carries. */
+  List<Rumor> news(@Nullable Peer to, long now) {
+    List<Rumor> news = rumors.take(MembershipTimes.MAX_RUMORS, overlay.size());
+    if (now < selfNewsUntilNanos && news.stream().noneMatch(r -> r.host().equals(self.host()))) {
+      news.add(selfRumor());
+    }
+    if (to != null && to.state() != State.ALIVE) {
+      news.add(to.rumor);
+    }
+    return news;
+  }
+
+  /** Returns all that is known, this node's own rumor included. */
+  List<Rumor> view() {
+    List<Rumor> all = new ArrayList<>(peers.size() + 1);
+    all.add(selfRumor());
+    peers.values().forEach(p -> all.add(p.rumor));
+    return all;
+  }
+
+  /** Returns a digest of the live nodes that does not depend on their order. */
+  long digest() {
+    long sum = leaving ? 0 : digest(selfRumor());
+    for (Peer p : peers.values()) {
+      if (p.live()) {
+        sum += digest(p.rumor);
+      }
+    }
+    return sum;
+  }
+
+  private static long digest(Rumor r) {
+    return Rendezvous.score(
+        Rendezvous.hash(r.host().value()), Rendezvous.score(r.incarnation(), r.counter()));
+  }
+
+  MemberList members(long now) {
+    List<Member> members = new ArrayList<>(peers.size() + 1);
+    if (!leaving) {
+      members.add(new Member(self.host(), self.region(), self.zone(), incarnation));
+    }
+    for (Peer p : peers.values()) {
+      Rumor r = p.rumor;
+      if (p.live() && !regions.lost(r.region(), now)) {
+        members.add(new Member(r.host(), r.region(), r.zone(), r.incarnation()));
+      }
+    }
+    members.sort((a, b) -> a.host().compareTo(b.host()));
+    return new MemberList(members, regions.unreachable());
+  }
+
+  /** Returns the regions of other live nodes. */
+  Set<RegionId> otherRegions() {
+    Set<RegionId> found = new HashSet<>();
+    for (Peer p : peers.values()) {
+      if (p.live() && !p.rumor.region().equals(self.region())) {
+        found.add(p.rumor.region());
+      }
+    }
+    return found;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/mustardlatch/core/membership/Overlay.java
@@ -0,0 +1,108 @@
+package org.mustardlatch.core.membership;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableSet;
+import java.util.Set;
+import java.util.TreeSet;
+import org.mustardlatch.core.membership.Rendezvous.Scored;
+import org.mustardlatch.core.model.HostId;
+import org.mustardlatch.core.model.RegionId;
+
+/**
+ * Who observes whom. A node has 8 observers: 6 of its own region and 2 of other regions, the first
+ * ones in rendezvous order for its name; when a region has too few, the others fill up. Kept up to
+ * date node by node, because ranking all pairs anew takes 390 times as long.
+ */
+final class Overlay {
+  static final int OBSERVERS = 8;
+  static final int REMOTE_OBSERVERS = 2;
+
+  private record Node(
+      RegionId region, long hash, NavigableSet<Scored> local, NavigableSet<Scored> remote) {}
+
+  private final Map<HostId, Node> nodes = new HashMap<>();
+
+  void add(HostId host, RegionId region) {
+    if (nodes.containsKey(host)) {
+      return;
+    }
+    Node added = new Node(region, Rendezvous.hash(host.value()), new TreeSet<>(), new TreeSet<>());
+    nodes.forEach(
+        (other, n) -> {
+          offer(n, host, added);
+          offer(added, other, n);
+        });
+    nodes.put(host, added);
+  }
+
+  void remove(HostId host) {
+    Node removed = nodes.remove(host);
+    if (removed == null) {
+      return;
+    }
+    nodes.forEach(
+        (other, n) -> {
+          Set<Scored> best = n.region.equals(removed.region) ? n.local : n.remote;
+          if (best.removeIf(s -> s.host().equals(host))) {
+            refill(other, n);
+          }
+        });
+  }
+
+  int size() {
+    return nodes.size();
+  }
+
+  /** Returns the observers of a node, in order of their score; empty when it is not known. */
+  List<HostId> observersOf(HostId host) {
+    Node n = nodes.get(host);
+    return n == null ? List.of() : chosen(n).stream().map(Scored::host).toList();
+  }
+
+  /** Returns the nodes that this one observes. */
+  Set<HostId> observedBy(HostId observer) {
+    Set<HostId> observed = new LinkedHashSet<>();
+    nodes.forEach(
+        (other, n) -> {
+          if (chosen(n).stream().anyMatch(s -> s.host().equals(observer))) {
+            observed.add(other);
+          }
+        });
+    return observed;
+  }
+
+  private static Collection<Scored> chosen(Node n) {
+    int remote = Math.min(n.remote.size(), Math.max(REMOTE_OBSERVERS, OBSERVERS - n.local.size()));
+    int local = Math.min(n.local.size(), OBSERVERS - remote);
+    List<Scored> all = new ArrayList<>(OBSERVERS);
+    n.local.stream().limit(local).forEach(all::add);
+    n.remote.stream().limit(remote).forEach(all::add);
+    return all;
+  }
+
+  private static void offer(Node to, HostId host, Node candidate) {
+    NavigableSet<Scored> best = to.region.equals(candidate.region) ? to.local : to.remote;
+    long score = Rendezvous.score(to.hash, candidate.hash);
+    if (best.size() == OBSERVERS && score < best.last().score()) {
+      return;
+    }
+    best.add(new Scored(host, score));
+    if (best.size() > OBSERVERS) {
+      best.pollLast();
+    }
+  }
+
+  private void refill(HostId host, Node n) {
+    nodes.forEach(
+        (other, candidate) -> {
+          if (!other.equals(host)) {
+            offer(n, other, candidate);
+          }
+        });
+  }
+}
--- a/core/src/main/java/org/mustardlatch/core/peer/MembershipMessage.java
+++ b/core/src/main/java/org/mustardlatch/core/peer/MembershipMessage.java
@@ -19,10 +19,19 @@
    * One belief about one node.
    *
    * @param address host and port of the node's peer listener, for example {@code 10.0.0.1:7100}
-   * @param incarnation a higher one overrides a lower one
+   * @param incarnation grows with every start of the node and every pause after which others may
+   *     have declared it dead; a higher one overrides a lower one
+   * @param counter grows with every refutation within an incarnation; a higher one overrides a
+   *     lower one of the same incarnation
    */
   record Rumor(
-      HostId host, RegionId region, ZoneId zone, String address, long incarnation, State state) {}
+      HostId host,
+      RegionId region,
+      ZoneId zone,
+      String address,
+      long incarnation,
+      long counter,
+      State state) {}
 
   /**
    * Sign of life with news.
@@ -50,11 +59,30 @@
   /** Asks for all that the receiver knows; sent by a node that joins. */
   record Join(Rumor self) implements MembershipMessage {}
 
-  /** The whole view of the sender, in answer to a join. */
-  record View(List<Rumor> rumors) implements MembershipMessage {
+  /**
+   * The view of the sender, in answer to a join or to a digest that differs.
+   *
+   * @param replyWanted whether the receiver must answer with the rumors that are newer in its view
+   */
+  record View(List<Rumor> rumors, boolean replyWanted) implements MembershipMessage {
     /** Copies the list. */
     public View {
       rumors = List.copyOf(rumors);
     }
   }
+
+  /**
+   * The sender observes the host and has missed its heartbeats. Sent to the other observers.
+   *
+   * @param incarnation incarnation of the host that is silent
+   * @param counter its refutation counter; a suspicion of an earlier one is void
+   */
+  record Suspicion(HostId host, long incarnation, long counter) implements MembershipMessage {}
+
+  /**
+   * Compares views; the receiver answers with its view when its digest differs.
+   *
+   * @param digest 64-bit digest of the sender's view
+   */
+  record Sync(long digest) implements MembershipMessage {}
 }
--- /dev/null
+++ b/core/src/main/java/org/mustardlatch/core/rollout/Acceptance.java
@@ -0,0 +1,40 @@
+package org.mustardlatch.core.rollout;
+
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.mustardlatch.core.membership.MemberList;
+import org.mustardlatch.core.model.HostId;
+import org.mustardlatch.core.model.RegionId;
+import org.mustardlatch.core.routing.Member;
+
+/** When a published revision is accepted: in force on enough hosts that it can't be lost. */
+final class Acceptance {
+  static final int HOSTS = 3;
+
+  private Acceptance() {}
+
+  /**
+   * Returns whether three nodes on different hosts (all, if fewer are alive), among them one in
+   * each reachable region, have the revision in force.
+   *
+   * @param revisions revision in force by host, this node's included
+   */
+  static boolean accepted(long revision, MemberList list, Map<HostId, Long> revisions) {
+    List<Member> reachable =
+        list.members().stream()
+            .filter(m -> !list.unreachableRegions().contains(m.region()))
+            .toList();
+    List<Member> holders =
+        reachable.stream().filter(m -> revisions.getOrDefault(m.host(), 0L) >= revision).toList();
+    return holders.size() >= Math.min(HOSTS, reachable.size())
+        && regions(holders).containsAll(regions(reachable));
+  }
+
+  private static Set<RegionId> regions(Collection<Member> members) {
+    return members.stream().map(Member::region).collect(Collectors.toCollection(HashSet::new));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/mustardlatch/core/rollout/Rollout.java
@@ -0,0 +1,292 @@
+package org.mustardlatch.core.rollout;
+
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+import org.mustardlatch.core.membership.MemberList;
+import org.mustardlatch.core.membership.Rendezvous;
+import org.mustardlatch.core.model.HostId;
+import org.mustardlatch.core.model.RegionId;
+import org.mustardlatch.core.peer.RolloutMessage;
+import org.mustardlatch.core.peer.RolloutMessage.ConfigApplied;
+import org.mustardlatch.core.peer.RolloutMessage.ConfigBody;
+import org.mustardlatch.core.peer.RolloutMessage.ConfigFetch;
+import org.mustardlatch.core.peer.RolloutMessage.ConfigOffer;
+import org.mustardlatch.core.routing.Member;
+
+/**
+ * Spread of the manifest as one node sees it, design section 4.7. The revision in force never goes
+ * back. Deterministic; not safe for use by several threads.
+ */
+public final class Rollout {
+  /** How often a {@link RolloutEvent.Tick} is expected. */
+  public static final Duration TICK_PERIOD = Duration.ofMillis(500);
+
+  /** Nodes of each region that watch the object service. */
+  public static final int WATCHERS = 3;
+
+  private static final String WATCH_KEY = "watch";
+
+  /** Longer than a round trip between regions with a 1 MB body on a slow link. */
+  private static final long FETCH_TIMEOUT = Duration.ofMillis(900).toNanos();
+
+  private record Fetch(long revision, HostId from, long atNanos) {}
+
+  private final HostId self;
+  private final Readiness readiness = new Readiness();
+  private final Map<HostId, Long> revisions = new TreeMap<>();
+  private MemberList members = new MemberList(List.of(), Set.of());
+  private List<HostId> neighbours = List.of();
+  private long revision;
+  private String text = "";
+  private String digest = "";
+  private long applying;
+  private String applyingText = "";
+  private long rejected;
+  private long awaitingAcceptance;
+  private @Nullable Fetch fetch;
+  private @Nullable HostId source;
+  private boolean watching;
+  private boolean ready;
+
+  /** Creates the state of a node that has no revision. */
+  public Rollout(HostId self) {
+    this.self = self;
+  }
+
+  /**
+   * Takes one event.
+   *
+   * @param nowNanos current monotonic time, never less than at the call before
+   * @param out receives the commands that follow from it, in order
+   */
+  public void handle(RolloutEvent event, long nowNanos, Consumer<RolloutCommand> out) {
+    switch (event) {
+      case RolloutEvent.Tick e -> retryFetch(nowNanos, out);
+      case RolloutEvent.Received e -> received(e.from(), e.message(), nowNanos, out);
+      case RolloutEvent.RevisionHeard e -> heard(e.from(), e.revision(), nowNanos, out);
+      case RolloutEvent.MembersChanged e -> membersChanged(e, out);
+      case RolloutEvent.Stored e -> {
+        readiness.storeRead(e.revision());
+        apply(e.revision(), e.text(), null, out);
+      }
+      case RolloutEvent.Published e -> {
+        awaitingAcceptance = Math.max(awaitingAcceptance, e.revision());
+        apply(e.revision(), e.text(), null, out);
+      }
+      case RolloutEvent.Applied e -> applied(e.revision(), out);
+      case RolloutEvent.Rejected e -> {
+        rejected = Math.max(rejected, e.revision());
+        applying = 0;
+      }
+    }
+    checkAccepted(out);
+    checkReady(nowNanos, out);
+  }
+
+  /** Returns the revision in force; 0 for none. */
+  public long revision() {
+    return revision;
+  }
+
+  /** Returns the text in force; empty for none. */
+  public String text() {
+    return text;
+  }
+
+  /** Returns whether the node may serve requests as far as its configuration is concerned. */
+  public boolean ready() {
+    return ready;
+  }
+
+  /** Returns whether this node holds a watch on the object service. */
+  public boolean watching() {
+    return watching;
+  }
+
+  /** Returns the state for a dump. */
+  public Map<String, Object> dump() {
+    Map<String, Object> all = new LinkedHashMap<>();
+    all.put("revision", revision);
+    all.put("digest", digest);
+    all.put("ready", ready);
+    all.put("watching", watching);
+    all.put("rejected", rejected);
+    all.put("awaiting_acceptance", awaitingAcceptance);
+    Map<String, Long> known = new LinkedHashMap<>();
+    revisions.forEach((host, r) -> known.put(host.value(), r));
+    all.put("revisions", known);
+    return all;
+  }
+
+  private void received(
+      HostId from, RolloutMessage message, long now, Consumer<RolloutCommand> out) {
+    switch (message) {
+      case ConfigOffer m -> heard(from, m.revision(), now, out);
+      case ConfigApplied m -> heard(from, m.revision(), now, out);
+      case ConfigFetch m -> {
+        if (revision >= m.revision()) {
+          out.accept(new RolloutCommand.Send(from, new ConfigBody(revision, text)));
+        }
+      }
+      case ConfigBody m -> {
+        readiness.heard(m.revision(), now);
+        apply(m.revision(), m.text(), from, out);
+      }
+    }
+  }
+
+  /** Another node has a revision in force. */
+  private void heard(HostId from, long theirs, long now, Consumer<RolloutCommand> out) {
+    revisions.put(from, theirs);
+    readiness.heard(theirs, now);
+    if (wanted(theirs) && (fetch == null || fetch.revision() < theirs)) {
+      fetchFrom(from, theirs, now, out);
+    }
+  }
+
+  private boolean wanted(long theirs) {
+    return theirs > revision && theirs > applying && theirs > rejected;
+  }
+
+  private void fetchFrom(HostId from, long theirs, long now, Consumer<RolloutCommand> out) {
+    fetch = new Fetch(theirs, from, now);
+    out.accept(new RolloutCommand.Send(from, new ConfigFetch(theirs)));
+  }
+
+  /** Asks another peer when an answer is late. */
+  private void retryFetch(long now, Consumer<RolloutCommand> out) {
+    Fetch f = fetch;
+    if (f == null) {
+      return;
+    }
+    if (!wanted(f.revision())) {
+      fetch = null;
+    } else if (now - f.atNanos() >= FETCH_TIMEOUT) {
+      HostId next = nextHolder(f);
+      if (next == null) {
+        fetch = null;
+      } else {
+        fetchFrom(next, f.revision(), now, out);
+      }
+    }
+  }
+
+  /** Returns a holder of the revision, the next one after the host that did not answer. */
+  private @Nullable HostId nextHolder(Fetch f) {
+    List<HostId> holders =
+        revisions.entrySet().stream()
+            .filter(e -> e.getValue() >= f.revision())
+            .map(Map.Entry::getKey)
+            .toList();
+    return holders.stream()
+        .filter(h -> h.compareTo(f.from()) > 0)
+        .findFirst()
+        .orElse(holders.isEmpty() ? null : holders.getFirst());
+  }
+
+  private void apply(long to, String newText, @Nullable HostId from, Consumer<RolloutCommand> out) {
+    if (wanted(to)) {
+      applying = to;
+      applyingText = newText;
+      source = from;
+      out.accept(new RolloutCommand.Apply(to, newText));
+    }
+  }
+
+  private void applied(long to, Consumer<RolloutCommand> out) {
+    if (to != applying || to <= revision) {
+      return;
+    }
+    revision = to;
+    text = applyingText;
+    digest = Hashing.sha256().hashString(text, StandardCharsets.UTF_8).toString();
+    applying = 0;
+    applyingText = "";
+    HostId from = source;
+    if (from != null) {
+      out.accept(new RolloutCommand.Send(from, new ConfigApplied(to)));
+    }
+    for (HostId h : targets()) {
+      if (!h.equals(from) && revisions.getOrDefault(h, 0L) < to) {
+        out.accept(new RolloutCommand.Send(h, new ConfigOffer(to, digest)));
+      }
+    }
+  }
+
+  /** Returns the neighbours and, for a publisher, one more node in each region without one. */
+  private Collection<HostId> targets() {
+    Set<HostId> targets = new LinkedHashSet<>(neighbours);
+    if (awaitingAcceptance >= revision) {
+      Map<RegionId, List<HostId>> byRegion = new TreeMap<>();
+      for (Member m : members.members()) {
+        byRegion.computeIfAbsent(m.region(), r -> new ArrayList<>()).add(m.host());
+      }
+      for (List<HostId> hosts : byRegion.values()) {
+        if (hosts.stream().noneMatch(targets::contains)) {
+          targets.addAll(Rendezvous.rank(WATCH_KEY, hosts, 1));
+        }
+      }
+    }
+    targets.remove(self);
+    return targets;
+  }
+
+  private void membersChanged(RolloutEvent.MembersChanged e, Consumer<RolloutCommand> out) {
+    members = e.list();
+    neighbours = e.neighbours();
+    Set<HostId> live = new LinkedHashSet<>();
+    members.members().forEach(m -> live.add(m.host()));
+    revisions.keySet().retainAll(live);
+    boolean watch = watchers().contains(self);
+    if (watch != watching) {
+      watching = watch;
+      out.accept(new RolloutCommand.WatchChanged(watch));
+    }
+  }
+
+  /** Returns the nodes of this node's region that watch the object service. */
+  private List<HostId> watchers() {
+    RegionId region =
+        members.members().stream()
+            .filter(m -> m.host().equals(self))
+            .map(Member::region)
+            .findFirst()
+            .orElse(null);
+    List<HostId> hosts =
+        members.members().stream()
+            .filter(m -> m.region().equals(region))
+            .map(Member::host)
+            .toList();
+    return Rendezvous.rank(WATCH_KEY, hosts, WATCHERS);
+  }
+
+  private void checkAccepted(Consumer<RolloutCommand> out) {
+    long awaited = awaitingAcceptance;
+    if (awaited == 0 || revision < awaited) {
+      return;
+    }
+    revisions.put(self, revision);
+    if (Acceptance.accepted(awaited, members, revisions)) {
+      awaitingAcceptance = 0;
+      out.accept(new RolloutCommand.Accepted(awaited));
+    }
+  }
+
+  private void checkReady(long now, Consumer<RolloutCommand> out) {
+    if (!ready && readiness.ready(revision, now)) {
+      ready = true;
+      out.accept(new RolloutCommand.Ready(revision));
+    }
+  }
+}
--- a/daemon/src/main/java/org/mustardlatch/daemon/log/LogEvent.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/log/LogEvent.java
@@ -12,8 +12,19 @@
   DAEMON_STOPPED(1004, Level.INFO, "stopped after {} ms"),
   SETTINGS_INVALID(1005, Level.ERROR, "settings file is not usable: {}"),
   UNEXPECTED_ERROR(1006, Level.ERROR, "unexpected error in {}: {}"),
+  PEERS_LISTENING(3001, Level.INFO, "listening for peers on {} with {} seeds"),
+  PEERS_PLAIN(3002, Level.WARN, "peer connections on {} are not encrypted (loopback only)"),
+  NODE_JOINED(3003, Level.INFO, "node {} is alive, {} nodes"),
+  NODE_GONE(3004, Level.WARN, "node {} is gone, {} nodes"),
+  NODE_SUSPECTED(3005, Level.WARN, "node {} is suspected to be dead"),
+  REGION_UNREACHABLE(3006, Level.WARN, "region {} is unreachable"),
+  REGION_REACHABLE(3007, Level.INFO, "region {} is reachable again"),
+  NODE_FENCED(3008, Level.WARN, "this node was paused for {} ms, its incarnation is now {}"),
   MANIFEST_APPLIED(4001, Level.INFO, "manifest revision {} with digest {} is in force"),
-  MANIFEST_REFUSED(4002, Level.WARN, "manifest refused with {} findings");
+  MANIFEST_REFUSED(4002, Level.WARN, "manifest refused with {} findings"),
+  MANIFEST_ACCEPTED(4010, Level.INFO, "published manifest revision {} is accepted"),
+  CONFIGURATION_READY(4011, Level.INFO, "configuration is ready with revision {}"),
+  MANIFEST_UNUSABLE(4012, Level.ERROR, "manifest revision {} from a peer can't be used");
 
   private final int number;
   private final Level level;
--- /dev/null
+++ b/wire/src/main/java/org/mustardlatch/wire/AdmissionCodec.java
@@ -0,0 +1,187 @@
+package org.mustardlatch.wire;
+
+import java.util.Locale;
+import org.mustardlatch.core.error.ErrorCode;
+import org.mustardlatch.core.model.AttemptId;
+import org.mustardlatch.core.model.ModelId;
+import org.mustardlatch.core.model.RequestId;
+import org.mustardlatch.core.model.UpstreamId;
+import org.mustardlatch.core.model.WorkspaceId;
+import org.mustardlatch.core.peer.AdmissionMessage;
+import org.mustardlatch.wire.generated.PeerProto;
+import org.mustardlatch.wire.generated.PeerProto.Envelope;
+import org.mustardlatch.wire.generated.PeerProto.Outcome;
+import org.mustardlatch.wire.generated.PeerProto.Stage;
+
+/** Admission messages. */
+final class AdmissionCodec {
+  private AdmissionCodec() {}
+
+  static void encode(AdmissionMessage message, Envelope.Builder out) {
+    switch (message) {
+      case AdmissionMessage.Reserve m -> out.setReserve(reserve(m));
+      case AdmissionMessage.ReserveGranted m ->
+          out.getReserveGrantedBuilder()
+              .setAttempt(attempt(m.attempt()))
+              .setPrefill(m.prefill().value())
+              .setDecode(m.decode().value())
+              .setValidNanos(m.validNanos())
+              .setSummary(summary(m.summary()));
+      case AdmissionMessage.ReserveRefused m ->
+          out.getReserveRefusedBuilder()
+              .setAttempt(attempt(m.attempt()))
+              .setCode(m.code().wireName())
+              .setRetryAfterNanos(m.retryAfterNanos())
+              .setSummary(summary(m.summary()));
+      case AdmissionMessage.ReservationRenew m ->
+          out.getReservationRenewBuilder()
+              .setAttempt(attempt(m.attempt()))
+              .setCell(m.cell())
+              .setUpstream(m.upstream().value())
+              .setStage(stage(m.stage()))
+              .setTokensSoFar(m.tokensSoFar());
+      case AdmissionMessage.ReservationRelease m ->
+          out.getReservationReleaseBuilder()
+              .setAttempt(attempt(m.attempt()))
+              .setCell(m.cell())
+              .setUpstream(m.upstream().value())
+              .setOutcome(outcome(m.outcome()));
+      case AdmissionMessage.CellSummary m -> out.setCellSummary(summary(m));
+    }
+  }
+
+  static AdmissionMessage decode(Envelope e) {
+    return switch (e.getBodyCase()) {
+      case RESERVE -> reserve(e.getReserve());
+      case RESERVE_GRANTED -> {
+        PeerProto.ReserveGranted m = e.getReserveGranted();
+        yield new AdmissionMessage.ReserveGranted(
+            attempt(m.getAttempt()),
+            new UpstreamId(m.getPrefill()),
+            new UpstreamId(m.getDecode()),
+            m.getValidNanos(),
+            summary(m.getSummary()));
+      }
+      case RESERVE_REFUSED -> {
+        PeerProto.ReserveRefused m = e.getReserveRefused();
+        yield new AdmissionMessage.ReserveRefused(
+            attempt(m.getAttempt()),
+            ErrorCode.valueOf(m.getCode().toUpperCase(Locale.ROOT)),
+            m.getRetryAfterNanos(),
+            summary(m.getSummary()));
+      }
+      case RESERVATION_RENEW -> {
+        PeerProto.ReservationRenew m = e.getReservationRenew();
+        yield new AdmissionMessage.ReservationRenew(
+            attempt(m.getAttempt()),
+            m.getCell(),
+            new UpstreamId(m.getUpstream()),
+            stage(m.getStage()),
+            m.getTokensSoFar());
+      }
+      case RESERVATION_RELEASE -> {
+        PeerProto.ReservationRelease m = e.getReservationRelease();
+        yield new AdmissionMessage.ReservationRelease(
+            attempt(m.getAttempt()),
+            m.getCell(),
+            new UpstreamId(m.getUpstream()),
+            outcome(m.getOutcome()));
+      }
+      case CELL_SUMMARY -> summary(e.getCellSummary());
+      default -> throw PeerCodec.unexpected(e);
+    };
+  }
+
+  private static PeerProto.Reserve reserve(AdmissionMessage.Reserve m) {
+    return PeerProto.Reserve.newBuilder()
+        .setAttempt(attempt(m.attempt()))
+        .setCell(m.cell())
+        .setWorkspace(m.workspace().value())
+        .setModel(m.model().value())
+        .setPromptTokens(m.promptTokens())
+        .setMaxOutputTokens(m.maxOutputTokens())
+        .addAllPrefixBlocks(m.prefixBlocks())
+        .setFingerprint(PeerCodec.digestToBytes(m.fingerprint().value()))
+        .setFirstTokenBudgetNanos(m.firstTokenBudgetNanos())
+        .setFinalBudgetNanos(m.finalBudgetNanos())
+        .addAllExcluded(m.excluded().stream().map(UpstreamId::value).toList())
+        .build();
+  }
+
+  private static AdmissionMessage.Reserve reserve(PeerProto.Reserve m) {
+    return new AdmissionMessage.Reserve(
+        attempt(m.getAttempt()),
+        m.getCell(),
+        new WorkspaceId(m.getWorkspace()),
+        new ModelId(m.getModel()),
+        m.getPromptTokens(),
+        m.getMaxOutputTokens(),
+        m.getPrefixBlocksList(),
+        PeerCodec.fingerprint(m.getFingerprint()),
+        m.getFirstTokenBudgetNanos(),
+        m.getFinalBudgetNanos(),
+        m.getExcludedList().stream().map(UpstreamId::new).toList());
+  }
+
+  private static PeerProto.Attempt attempt(AttemptId attempt) {
+    return PeerProto.Attempt.newBuilder()
+        .setRequest(attempt.request().value())
+        .setNumber(attempt.number())
+        .build();
+  }
+
+  private static AttemptId attempt(PeerProto.Attempt attempt) {
+    return new AttemptId(new RequestId(attempt.getRequest()), attempt.getNumber());
+  }
+
+  private static PeerProto.CellSummary summary(AdmissionMessage.CellSummary m) {
+    return PeerProto.CellSummary.newBuilder()
+        .setCell(m.cell())
+        .setFreeSlots(m.freeSlots())
+        .setPredictedWaitNanos(m.predictedWaitNanos())
+        .build();
+  }
+
+  private static AdmissionMessage.CellSummary summary(PeerProto.CellSummary m) {
+    return new AdmissionMessage.CellSummary(
+        m.getCell(), m.getFreeSlots(), m.getPredictedWaitNanos());
+  }
+
+  private static Stage stage(AdmissionMessage.Stage stage) {
+    return switch (stage) {
+      case PREFILL -> Stage.STAGE_PREFILL;
+      case TRANSFER -> Stage.STAGE_TRANSFER;
+      case DECODE -> Stage.STAGE_DECODE;
+    };
+  }
+
+  private static AdmissionMessage.Stage stage(Stage stage) {
+    return switch (stage) {
+      case STAGE_PREFILL -> AdmissionMessage.Stage.PREFILL;
+      case STAGE_TRANSFER -> AdmissionMessage.Stage.TRANSFER;
+      case STAGE_DECODE -> AdmissionMessage.Stage.DECODE;
+      case STAGE_UNSPECIFIED, UNRECOGNIZED -> throw PeerCodec.badEnum("stage", stage);
+    };
+  }
+
+  private static Outcome outcome(AdmissionMessage.Outcome outcome) {
+    return switch (outcome) {
+      case FINISHED -> Outcome.OUTCOME_FINISHED;
+      case CANCELLED -> Outcome.OUTCOME_CANCELLED;
+      case FAILED -> Outcome.OUTCOME_FAILED;
+      case CRASHED -> Outcome.OUTCOME_CRASHED;
+      case REFUSED -> Outcome.OUTCOME_REFUSED;
+    };
+  }
+
+  private static AdmissionMessage.Outcome outcome(Outcome outcome) {
+    return switch (outcome) {
+      case OUTCOME_FINISHED -> AdmissionMessage.Outcome.FINISHED;
+      case OUTCOME_CANCELLED -> AdmissionMessage.Outcome.CANCELLED;
+      case OUTCOME_FAILED -> AdmissionMessage.Outcome.FAILED;
+      case OUTCOME_CRASHED -> AdmissionMessage.Outcome.CRASHED;
+      case OUTCOME_REFUSED -> AdmissionMessage.Outcome.REFUSED;
+      case OUTCOME_UNSPECIFIED, UNRECOGNIZED -> throw PeerCodec.badEnum("outcome", outcome);
+    };
+  }
+}
--- /dev/null
+++ b/wire/src/main/java/org/mustardlatch/wire/CountingFrameDecoder.java
@@ -0,0 +1,31 @@
+package org.mustardlatch.wire;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import java.util.List;
+
+/** Length-prefixed frames; counts a frame that the end of the connection cut off. */
+final class CountingFrameDecoder extends LengthFieldBasedFrameDecoder {
+  private final TransportCounters counters;
+
+  CountingFrameDecoder(TransportCounters counters) {
+    super(
+        TransportLimits.MAX_FRAME_BYTES,
+        0,
+        TransportLimits.LENGTH_BYTES,
+        0,
+        TransportLimits.LENGTH_BYTES);
+    this.counters = counters;
+  }
+
+  @Override
+  protected void decodeLast(ChannelHandlerContext context, ByteBuf in, List<Object> out)
+      throws Exception {
+    super.decodeLast(context, in, out);
+    if (out.isEmpty() && in.isReadable()) {
+      counters.refused(FrameRefusal.TRUNCATED);
+      in.skipBytes(in.readableBytes());
+    }
+  }
+}
--- /dev/null
+++ b/wire/src/main/java/org/mustardlatch/wire/EvidenceCodec.java
@@ -0,0 +1,82 @@
+package org.mustardlatch.wire;
+
+import com.google.protobuf.ByteString;
+import org.mustardlatch.core.model.Fingerprint;
+import org.mustardlatch.core.model.UpstreamId;
+import org.mustardlatch.core.peer.EvidenceMessage;
+import org.mustardlatch.wire.generated.PeerProto;
+import org.mustardlatch.wire.generated.PeerProto.Envelope;
+import org.mustardlatch.wire.generated.PeerProto.Verdict;
+
+/** Messages about crashes and leaving upstreams. */
+final class EvidenceCodec {
+  private EvidenceCodec() {}
+
+  static void encode(EvidenceMessage message, Envelope.Builder out) {
+    switch (message) {
+      case EvidenceMessage.CrashReport m ->
+          out.getCrashReportBuilder()
+              .setUpstream(m.upstream().value())
+              .setCrashId(m.crashId())
+              .addAllRunning(m.running().stream().map(EvidenceCodec::bytes).toList());
+      case EvidenceMessage.RunRequest m ->
+          out.getRunRequestBuilder().setFingerprint(bytes(m.fingerprint())).setAttempt(m.attempt());
+      case EvidenceMessage.RunPermission m ->
+          out.getRunPermissionBuilder()
+              .setFingerprint(bytes(m.fingerprint()))
+              .setAttempt(m.attempt())
+              .setVerdict(verdict(m.verdict()));
+      case EvidenceMessage.Cleared m ->
+          out.getClearedBuilder().setFingerprint(bytes(m.fingerprint()));
+      case EvidenceMessage.LeavingNotice m ->
+          out.getLeavingNoticeBuilder().setUpstream(m.upstream().value());
+    }
+  }
+
+  static EvidenceMessage decode(Envelope e) {
+    return switch (e.getBodyCase()) {
+      case CRASH_REPORT -> {
+        PeerProto.CrashReport m = e.getCrashReport();
+        yield new EvidenceMessage.CrashReport(
+            new UpstreamId(m.getUpstream()),
+            m.getCrashId(),
+            m.getRunningList().stream().map(PeerCodec::fingerprint).toList());
+      }
+      case RUN_REQUEST ->
+          new EvidenceMessage.RunRequest(
+              PeerCodec.fingerprint(e.getRunRequest().getFingerprint()),
+              e.getRunRequest().getAttempt());
+      case RUN_PERMISSION ->
+          new EvidenceMessage.RunPermission(
+              PeerCodec.fingerprint(e.getRunPermission().getFingerprint()),
+              e.getRunPermission().getAttempt(),
+              verdict(e.getRunPermission().getVerdict()));
+      case CLEARED ->
+          new EvidenceMessage.Cleared(PeerCodec.fingerprint(e.getCleared().getFingerprint()));
+      case LEAVING_NOTICE ->
+          new EvidenceMessage.LeavingNotice(new UpstreamId(e.getLeavingNotice().getUpstream()));
+      default -> throw PeerCodec.unexpected(e);
+    };
+  }
+
+  private static ByteString bytes(Fingerprint fingerprint) {
+    return PeerCodec.digestToBytes(fingerprint.value());
+  }
+
+  private static Verdict verdict(EvidenceMessage.Verdict verdict) {
+    return switch (verdict) {
+      case RUN -> Verdict.VERDICT_RUN;
+      case WAIT -> Verdict.VERDICT_WAIT;
+      case QUARANTINED -> Verdict.VERDICT_QUARANTINED;
+    };
+  }
+
+  private static EvidenceMessage.Verdict verdict(Verdict verdict) {
+    return switch (verdict) {
+      case VERDICT_RUN -> EvidenceMessage.Verdict.RUN;
+      case VERDICT_WAIT -> EvidenceMessage.Verdict.WAIT;
+      case VERDICT_QUARANTINED -> EvidenceMessage.Verdict.QUARANTINED;
+      case VERDICT_UNSPECIFIED, UNRECOGNIZED -> throw PeerCodec.badEnum("verdict", verdict);
+    };
+  }
+}
--- /dev/null
+++ b/wire/src/main/java/org/mustardlatch/wire/PeerChannel.java
@@ -0,0 +1,305 @@
+package org.mustardlatch.wire;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.DecoderException;
+import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.ssl.SslHandler;
+import io.netty.handler.ssl.SslHandshakeCompletionEvent;
+import io.netty.handler.ssl.SslHandshakeTimeoutException;
+import java.io.IOException;
+import java.util.Set;
+import javax.net.ssl.SSLException;
+import org.jspecify.annotations.Nullable;
+import org.mustardlatch.core.model.HostId;
+import org.mustardlatch.core.peer.PeerMessage;
+import org.mustardlatch.wire.generated.PeerProto.Envelope;
+import org.mustardlatch.wire.generated.PeerProto.Ping;
+import org.mustardlatch.wire.generated.PeerProto.Pong;
+
+/**
+ * One connection: identity, sequence numbers, pings. Its fields are confined to the event loop,
+ * except for the volatile ones.
+ */
+final class PeerChannel extends SimpleChannelInboundHandler<Envelope> {
+  private final PeerTransport transport;
+  private final boolean accepted;
+  private final @Nullable Link opener;
+  private volatile @Nullable Channel channel;
+  private volatile @Nullable HostId host;
+  private @Nullable Set<String> certificateNames;
+  private boolean refused;
+  private long sent;
+  private long received;
+  private long openedNanos;
+  private long lastReadNanos;
+  private long lastMessageNanos;
+  private long unansweredSinceNanos;
+  private boolean unanswered;
+  private boolean pinged;
+
+  /**
+   * @param opener the link that opened the connection; null for an accepted one
+   */
+  PeerChannel(PeerTransport transport, @Nullable Link opener) {
+    this.transport = transport;
+    this.accepted = opener == null;
+    this.opener = opener;
+  }
+
+  boolean accepted() {
+    return accepted;
+  }
+
+  /** Returns the peer that the connection belongs to, or null while it is not known. */
+  @Nullable HostId host() {
+    return host;
+  }
+
+  boolean isWritable() {
+    Channel c = channel;
+    return c != null && c.isActive() && c.isWritable();
+  }
+
+  /** Sends a message; may be called on any thread. */
+  void send(PeerMessage message) {
+    Channel c = channel;
+    if (c != null) {
+      c.eventLoop().execute(() -> writeMessage(c, message));
+    }
+  }
+
+  private void writeMessage(Channel c, PeerMessage message) {
+    Envelope.Builder b = Envelope.newBuilder();
+    PeerCodec.encode(message, b);
+    long now = System.nanoTime();
+    lastMessageNanos = now;
+    markUnanswered(now);
+    write(c, b);
+  }
+
+  /** Runs a task on the event loop of the connection. */
+  void onLoop(Runnable task) {
+    Channel c = channel;
+    if (c != null) {
+      c.eventLoop().execute(task);
+    }
+  }
+
+  void close() {
+    Channel c = channel;
+    if (c != null) {
+      close(c);
+    }
+  }
+
+  @Override
+  public void channelActive(ChannelHandlerContext context) {
+    long now = System.nanoTime();
+    openedNanos = now;
+    lastReadNanos = now;
+    lastMessageNanos = now;
+    channel = context.channel();
+    transport.channelOpened(this);
+    if (context.pipeline().get(SslHandler.class) == null) {
+      ready();
+    }
+    context.fireChannelActive();
+  }
+
+  @Override
+  public void userEventTriggered(ChannelHandlerContext context, Object event) {
+    if (event instanceof SslHandshakeCompletionEvent handshake) {
+      if (handshake.isSuccess()) {
+        SslHandler ssl = context.pipeline().get(SslHandler.class);
+        certificateNames = CertificateNames.of(ssl.engine().getSession());
+        ready();
+      } else if (handshake.cause() instanceof SSLException
+          && !(handshake.cause() instanceof SslHandshakeTimeoutException)) {
+        refuse(FrameRefusal.STRANGER);
+      }
+    }
+    context.fireUserEventTriggered(event);
+  }
+
+  /** The connection can carry frames. */
+  private void ready() {
+    if (opener == null) {
+      return;
+    }
+    HostId expected = opener.host();
+    if (expected != null && !named(expected)) {
+      refuse(FrameRefusal.HOST_MISMATCH);
+      return;
+    }
+    host = expected;
+    opener.attach(this);
+  }
+
+  private boolean named(HostId claimed) {
+    Set<String> names = certificateNames;
+    return names == null || names.contains(claimed.value());
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext context, Envelope envelope) {
+    if (refused) {
+      return;
+    }
+    long now = System.nanoTime();
+    HostId from = check(envelope);
+    if (from == null) {
+      return;
+    }
+    transport.counters().framesReceived.increment();
+    lastReadNanos = now;
+    unanswered = false;
+    pinged = false;
+    if (host == null) {
+      host = from;
+      transport.identified(this, from);
+    }
+    switch (envelope.getBodyCase()) {
+      case PING ->
+          write(context.channel(), Envelope.newBuilder().setPong(Pong.getDefaultInstance()));
+      case PONG -> {}
+      default -> deliver(from, envelope, now);
+    }
+  }
+
+  private void deliver(HostId from, Envelope envelope, long now) {
+    lastMessageNanos = now;
+    PeerMessage message;
+    try {
+      message = PeerCodec.decode(envelope);
+    } catch (IllegalArgumentException e) {
+      refuse(FrameRefusal.MALFORMED);
+      return;
+    }
+    transport.deliver(from, envelope.getIncarnation(), message);
+  }
+
+  /** Returns the sender, or null when the frame was refused. */
+  private @Nullable HostId check(Envelope envelope) {
+    if (envelope.getSequence() != received + 1) {
+      refuse(FrameRefusal.REPLAYED);
+      return null;
+    }
+    received++;
+    HostId claimed;
+    try {
+      claimed = new HostId(envelope.getHost());
+    } catch (IllegalArgumentException e) {
+      refuse(FrameRefusal.MALFORMED);
+      return null;
+    }
+    HostId known = host;
+    if (!named(claimed) || (known != null && !known.equals(claimed))) {
+      refuse(FrameRefusal.HOST_MISMATCH);
+      return null;
+    }
+    if (claimed.equals(transport.host())) {
+      refuse(FrameRefusal.OWN_HOST);
+      return null;
+    }
+    return claimed;
+  }
+
+  private void refuse(FrameRefusal reason) {
+    if (refused) {
+      return;
+    }
+    refused = true;
+    transport.counters().refused(reason);
+    if (opener != null) {
+      opener.failed(this);
+    }
+    close();
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    if (cause instanceof TooLongFrameException) {
+      refuse(FrameRefusal.OVERSIZED);
+    } else if (cause instanceof DecoderException && cause.getCause() instanceof SSLException) {
+      refuse(FrameRefusal.STRANGER);
+    } else if (cause instanceof DecoderException) {
+      refuse(FrameRefusal.MALFORMED);
+    } else if (!(cause instanceof IOException)) {
+      transport.unexpected(cause);
+    }
+    close(context.channel());
+  }
+
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext context) {
+    transport.writable(this);
+    context.fireChannelWritabilityChanged();
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    transport.channelClosed(this, opener);
+    context.fireChannelInactive();
+  }
+
+  /** Sends pings and closes silent, unused and unidentified connections. Runs on the event loop. */
+  void watch(long now, boolean late) {
+    Channel c = channel;
+    if (c == null || !c.isActive()) {
+      return;
+    }
+    if (late && unanswered) {
+      unansweredSinceNanos = now;
+    }
+    if (host == null) {
+      if (now - openedNanos > TransportLimits.IDENTIFY_NANOS) {
+        refuse(FrameRefusal.UNIDENTIFIED);
+      }
+      return;
+    }
+    if (unanswered && now - unansweredSinceNanos > TransportLimits.SILENT_AFTER_NANOS) {
+      transport.counters().silentClosed.increment();
+      transport.silent(this);
+      close(c);
+    } else if (now - lastMessageNanos > TransportLimits.UNUSED_AFTER_NANOS) {
+      transport.counters().unusedClosed.increment();
+      close(c);
+    } else if (!pinged && needsPing(now)) {
+      pinged = true;
+      markUnanswered(now);
+      write(c, Envelope.newBuilder().setPing(Ping.getDefaultInstance()));
+    }
+  }
+
+  private boolean needsPing(long now) {
+    return unanswered
+        ? now - unansweredSinceNanos > TransportLimits.PING_AFTER_NANOS
+        : now - lastReadNanos > TransportLimits.IDLE_PING_NANOS;
+  }
+
+  private void markUnanswered(long now) {
+    if (!unanswered) {
+      unanswered = true;
+      unansweredSinceNanos = now;
+    }
+  }
+
+  /** A failure to close needs no action: the connection is gone either way. */
+  @SuppressWarnings("FutureReturnValueIgnored")
+  private static void close(Channel c) {
+    c.close();
+  }
+
+  /** A failure to write reaches {@link #exceptionCaught} through the void promise. */
+  @SuppressWarnings("FutureReturnValueIgnored")
+  private void write(Channel c, Envelope.Builder envelope) {
+    envelope
+        .setHost(transport.host().value())
+        .setIncarnation(transport.incarnation())
+        .setSequence(++sent);
+    transport.counters().framesSent.increment();
+    c.writeAndFlush(envelope.build(), c.voidPromise());
+  }
+}
--- /dev/null
+++ b/wire/src/main/java/org/mustardlatch/wire/PeerNode.java
@@ -0,0 +1,330 @@
+package org.mustardlatch.wire;
+
+import io.reactivex.rxjava3.disposables.Disposable;
+import io.reactivex.rxjava3.subjects.PublishSubject;
+import io.reactivex.rxjava3.subjects.Subject;
+import java.net.InetSocketAddress;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
+import org.mustardlatch.core.membership.MemberList;
+import org.mustardlatch.core.membership.Membership;
+import org.mustardlatch.core.membership.MembershipCommand;
+import org.mustardlatch.core.membership.MembershipEvent;
+import org.mustardlatch.core.membership.NodeIdentity;
+import org.mustardlatch.core.model.HostId;
+import org.mustardlatch.core.peer.BudgetMessage;
+import org.mustardlatch.core.peer.EvidenceMessage;
+import org.mustardlatch.core.peer.MembershipMessage;
+import org.mustardlatch.core.peer.PeerMessage;
+import org.mustardlatch.core.peer.RolloutMessage;
+import org.mustardlatch.core.rollout.Rollout;
+import org.mustardlatch.core.rollout.RolloutCommand;
+import org.mustardlatch.core.rollout.RolloutEvent;
+import org.mustardlatch.core.time.TimerService;
+import org.mustardlatch.core.time.TimerSubscription;
+
+/**
+ * One node among its peers: transport, membership and spread of the manifest. Its state is touched
+ * by one task at a time; tasks come from network threads, the timer service and callers.
+ */
+public final class PeerNode {
+  private static final long DUMP_TIMEOUT_MILLIS = 2_000;
+
+  private final PeerNodeOptions options;
+  private final TimerService timers;
+  private final RandomGenerator random;
+  private final PeerNodeListener listener;
+  private final PeerTransport transport;
+  private final Subject<Runnable> tasks = PublishSubject.<Runnable>create().toSerialized();
+  private final EvidenceFlood flood = new EvidenceFlood();
+  private final Rollout rollout;
+  private @Nullable Membership membership;
+  private @Nullable TimerSubscription ticks;
+  private @Nullable Disposable running;
+  private volatile long incarnation;
+  private volatile MemberList members = new MemberList(List.of(), Set.of());
+  private volatile long revision;
+  private volatile boolean ready;
+
+  /** Creates a node; it does nothing before {@link #start}. */
+  public PeerNode(
+      PeerNodeOptions options,
+      TimerService timers,
+      RandomGenerator random,
+      PeerNodeListener listener) {
+    this.options = options;
+    this.timers = timers;
+    this.random = random;
+    this.listener = listener;
+    this.incarnation = options.incarnation();
+    this.rollout = new Rollout(options.host());
+    this.transport =
+        new PeerTransport(
+            new PeerTransportOptions(
+                options.host(), this::incarnation, options.bind(), options.tls(), options.group()),
+            this::receive,
+            listener::unexpected);
+  }
+
+  /**
+   * Starts to listen and to join.
+   *
+   * @return the address in use
+   */
+  public InetSocketAddress start() {
+    running = tasks.subscribe(this::runTask, listener::unexpected);
+    InetSocketAddress bound = transport.start();
+    String address =
+        options.advertised() != null
+            ? options.advertised()
+            : bound.getAddress().getHostAddress() + ":" + bound.getPort();
+    tasks.onNext(() -> join(address));
+    ticks = timers.every(Membership.TICK_PERIOD, () -> tasks.onNext(this::tick));
+    return bound;
+  }
+
+  /** Tells the neighbours that this node is about to stop. */
+  public void leave() {
+    tasks.onNext(() -> toMembership(new MembershipEvent.LeaveRequested()));
+  }
+
+  /** Stops without telling anybody; see {@link #leave}. */
+  public void stop() {
+    if (ticks != null) {
+      ticks.cancel();
+    }
+    transport.stop();
+    if (running != null) {
+      running.dispose();
+    }
+  }
+
+  /** Sends a message; one to this node itself is delivered to the listener. */
+  public void send(HostId to, PeerMessage message) {
+    tasks.onNext(() -> sendNow(to, message));
+  }
+
+  /** Spreads evidence to all nodes along the overlay; this node's listener does not receive it. */
+  public void spread(EvidenceMessage message) {
+    tasks.onNext(() -> passOn(options.host(), message));
+  }
+
+  /** The object service lists these peer addresses. */
+  public void nodesListed(List<String> addresses) {
+    tasks.onNext(() -> toMembership(new MembershipEvent.NodesListed(addresses)));
+  }
+
+  /** The object service holds this revision; 0 with empty text when it holds none. */
+  public void stored(long storedRevision, String text) {
+    tasks.onNext(() -> toRollout(new RolloutEvent.Stored(storedRevision, text)));
+  }
+
+  /** This node stored a revision for an operator. */
+  public void published(long publishedRevision, String text) {
+    tasks.onNext(() -> toRollout(new RolloutEvent.Published(publishedRevision, text)));
+  }
+
+  /** Returns the current incarnation. */
+  public long incarnation() {
+    return incarnation;
+  }
+
+  /** Returns the live nodes. */
+  public MemberList members() {
+    return members;
+  }
+
+  /** Returns the manifest revision in force; 0 for none. */
+  public long revision() {
+    return revision;
+  }
+
+  /** Returns whether the manifest in force is recent enough to serve requests. */
+  public boolean ready() {
+    return ready;
+  }
+
+  /** Returns the counters of the transport. */
+  public TransportCounters counters() {
+    return transport.counters();
+  }
+
+  /** Returns the state for a dump. Must not be called by the listener. */
+  public Map<String, Object> dump() {
+    CompletableFuture<Map<String, Object>> dump = new CompletableFuture<>();
+    tasks.onNext(() -> dump.complete(dumpNow()));
+    try {
+      return dump.get(DUMP_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    } catch (ExecutionException | TimeoutException e) {
+      return Map.of("error", "no dump within " + DUMP_TIMEOUT_MILLIS + " ms");
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return Map.of("error", "interrupted");
+    }
+  }
+
+  private Map<String, Object> dumpNow() {
+    Map<String, Object> all = new LinkedHashMap<>();
+    Membership m = membership;
+    all.put("membership", m == null ? Map.of() : m.dump());
+    all.put("rollout", rollout.dump());
+    all.put("evidence_remembered", flood.size());
+    all.put("transport", transport.dump());
+    return all;
+  }
+
+  private void runTask(Runnable task) {
+    try {
+      task.run();
+    } catch (RuntimeException e) {
+      listener.unexpected(e);
+    }
+  }
+
+  private void join(String address) {
+    NodeIdentity self = new NodeIdentity(options.host(), options.region(), options.zone(), address);
+    Membership m =
+        new Membership(self, options.incarnation(), options.seeds(), random, timers.nanos());
+    membership = m;
+    membersChanged(m, m.members());
+  }
+
+  private void tick() {
+    toMembership(new MembershipEvent.Tick());
+    toRollout(new RolloutEvent.Tick());
+  }
+
+  private void receive(HostId from, long senderIncarnation, PeerMessage message) {
+    tasks.onNext(() -> dispatch(from, senderIncarnation, message));
+  }
+
+  private void dispatch(HostId from, long senderIncarnation, PeerMessage message) {
+    if (message instanceof MembershipMessage m) {
+      toMembership(new MembershipEvent.Received(from, senderIncarnation, m));
+      noteRevision(from, m);
+      return;
+    }
+    toMembership(new MembershipEvent.Heard(from, senderIncarnation));
+    switch (message) {
+      case RolloutMessage m -> toRollout(new RolloutEvent.Received(from, m));
+      case BudgetMessage m -> listener.received(from, senderIncarnation, m);
+      case EvidenceMessage m -> evidence(from, senderIncarnation, m);
+      default -> listener.received(from, senderIncarnation, message);
+    }
+  }
+
+  private void noteRevision(HostId from, MembershipMessage message) {
+    switch (message) {
+      case MembershipMessage.Heartbeat m ->
+          toRollout(new RolloutEvent.RevisionHeard(from, m.configRevision()));
+      case MembershipMessage.HeartbeatAck m ->
+          toRollout(new RolloutEvent.RevisionHeard(from, m.configRevision()));
+      default -> {}
+    }
+  }
+
+  private void evidence(HostId from, long senderIncarnation, EvidenceMessage message) {
+    switch (message) {
+      case EvidenceMessage.RunRequest m -> listener.received(from, senderIncarnation, m);
+      case EvidenceMessage.RunPermission m -> listener.received(from, senderIncarnation, m);
+      case EvidenceMessage.CrashReport m -> passOnAndDeliver(from, senderIncarnation, m);
+      case EvidenceMessage.Cleared m -> passOnAndDeliver(from, senderIncarnation, m);
+      case EvidenceMessage.LeavingNotice m -> passOnAndDeliver(from, senderIncarnation, m);
+    }
+  }
+
+  private void passOnAndDeliver(HostId from, long senderIncarnation, EvidenceMessage message) {
+    if (passOn(from, message)) {
+      listener.received(from, senderIncarnation, message);
+    }
+  }
+
+  /** Sends new evidence to all neighbours but its sender; returns whether it is new. */
+  private boolean passOn(HostId from, EvidenceMessage message) {
+    Membership m = membership;
+    if (m == null || !flood.isNew(message, timers.nanos())) {
+      return false;
+    }
+    for (HostId h : m.neighbours()) {
+      if (!h.equals(from)) {
+        sendNow(h, message);
+      }
+    }
+    return true;
+  }
+
+  private void sendNow(HostId to, PeerMessage message) {
+    if (to.equals(options.host())) {
+      listener.received(to, incarnation, message);
+      return;
+    }
+    Membership m = membership;
+    transport.send(to, m == null ? null : m.address(to), message);
+  }
+
+  private void toMembership(MembershipEvent event) {
+    Membership m = membership;
+    if (m != null) {
+      m.handle(event, timers.nanos(), c -> execute(m, c));
+    }
+  }
+
+  private void execute(Membership m, MembershipCommand command) {
+    switch (command) {
+      case MembershipCommand.Send c -> transport.send(c.to(), c.address(), c.message());
+      case MembershipCommand.SendToAddress c -> transport.sendToAddress(c.address(), c.message());
+      case MembershipCommand.MembersChanged c -> membersChanged(m, c.list());
+      case MembershipCommand.Forget c -> transport.forget(c.host());
+      case MembershipCommand.Suspected c -> listener.suspected(c.host());
+      case MembershipCommand.Fenced c -> {
+        incarnation = c.incarnation();
+        listener.fenced(c.incarnation(), c.pausedNanos());
+      }
+    }
+  }
+
+  private void membersChanged(Membership m, MemberList list) {
+    members = list;
+    toRollout(new RolloutEvent.MembersChanged(list, m.neighbours()));
+    listener.membersChanged(list);
+  }
+
+  private void toRollout(RolloutEvent event) {
+    rollout.handle(event, timers.nanos(), this::execute);
+  }
+
+  private void execute(RolloutCommand command) {
+    switch (command) {
+      case RolloutCommand.Send c -> sendNow(c.to(), c.message());
+      case RolloutCommand.Apply c -> apply(c.revision(), c.text());
+      case RolloutCommand.Accepted c -> listener.accepted(c.revision());
+      case RolloutCommand.WatchChanged c -> listener.watchChanged(c.watch());
+      case RolloutCommand.Ready c -> {
+        ready = true;
+        listener.ready(c.revision());
+      }
+    }
+  }
+
+  private void apply(long newRevision, String text) {
+    // The result is a task of its own, because the rollout is in the middle of an event.
+    if (listener.apply(newRevision, text)) {
+      revision = newRevision;
+      tasks.onNext(
+          () -> {
+            toRollout(new RolloutEvent.Applied(newRevision));
+            toMembership(new MembershipEvent.RevisionInForce(newRevision));
+          });
+    } else {
+      tasks.onNext(() -> toRollout(new RolloutEvent.Rejected(newRevision)));
+    }
+  }
+}
--- /dev/null
+++ b/wire/src/main/java/org/mustardlatch/wire/PeerTransport.java
@@ -0,0 +1,307 @@
+package org.mustardlatch.wire;
+
+import com.google.common.net.HostAndPort;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPipeline;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.handler.codec.protobuf.ProtobufDecoder;
+import io.netty.handler.codec.protobuf.ProtobufEncoder;
+import io.netty.handler.ssl.SslHandler;
+import io.netty.util.concurrent.Future;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+import org.mustardlatch.core.error.ErrorCode;
+import org.mustardlatch.core.error.MustardlatchException;
+import org.mustardlatch.core.model.HostId;
+import org.mustardlatch.core.peer.PeerMessage;
+import org.mustardlatch.wire.generated.PeerProto.Envelope;
+
+/**
+ * Carries messages between nodes over TCP: length-prefixed protobuf frames, with mutual TLS unless
+ * the node listens on loopback only. Delivery is not guaranteed; a message is lost when its
+ * connection breaks or its queue overflows. Messages over one connection keep their order.
+ */
+public final class PeerTransport {
+  private final PeerTransportOptions options;
+  private final PeerListener listener;
+  private final Consumer<Throwable> unexpected;
+  private final TransportCounters counters = new TransportCounters();
+  private final TrafficCounter traffic = new TrafficCounter(counters);
+  private final Map<HostId, Link> byHost = new ConcurrentHashMap<>();
+  private final Map<String, Link> byAddress = new ConcurrentHashMap<>();
+  private final Set<PeerChannel> channels = ConcurrentHashMap.newKeySet();
+  private final AtomicInteger acceptedChannels = new AtomicInteger();
+  private final @Nullable TlsContexts tls;
+  private @Nullable EventLoopGroup ownGroup;
+  private volatile @Nullable EventLoopGroup group;
+  private @Nullable Future<?> watch;
+  private @Nullable Channel server;
+  private long lastWatchNanos;
+  private volatile boolean stopped;
+
+  /**
+   * Creates a transport; it does nothing before {@link #start}.
+   *
+   * @param listener receives messages
+   * @param unexpected receives errors that point to a fault in the program
+   * @throws MustardlatchException with code {@code SETTINGS_INVALID} when TLS files are not usable
+   */
+  public PeerTransport(
+      PeerTransportOptions options, PeerListener listener, Consumer<Throwable> unexpected) {
+    this.options = options;
+    this.listener = listener;
+    this.unexpected = unexpected;
+    this.tls = options.tls() == null ? null : TlsContexts.load(options.tls());
+  }
+
+  /**
+   * Starts to listen.
+   *
+   * @return the address in use, with the port that was chosen
+   * @throws MustardlatchException with code {@code SETTINGS_INVALID} when the address can't be
+   *     bound
+   */
+  public InetSocketAddress start() {
+    EventLoopGroup g = options.group();
+    if (g == null) {
+      g = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+      ownGroup = g;
+    }
+    group = g;
+    var bound =
+        new ServerBootstrap()
+            .group(g)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(initializer(null, null))
+            .bind(options.bind())
+            .awaitUninterruptibly();
+    if (!bound.isSuccess()) {
+      stop();
+      throw new MustardlatchException(
+          ErrorCode.SETTINGS_INVALID, "can't listen for peers on " + options.bind(), bound.cause());
+    }
+    server = bound.channel();
+    lastWatchNanos = System.nanoTime();
+    long period = TransportLimits.WATCH_PERIOD.toMillis();
+    watch = g.next().scheduleWithFixedDelay(this::watch, period, period, TimeUnit.MILLISECONDS);
+    return (InetSocketAddress) bound.channel().localAddress();
+  }
+
+  /** Closes all connections. Messages that wait are lost. */
+  public void stop() {
+    stopped = true;
+    if (watch != null) {
+      watch.cancel(false);
+    }
+    if (server != null) {
+      server.close().awaitUninterruptibly(1, TimeUnit.SECONDS);
+    }
+    channels.forEach(PeerChannel::close);
+    if (ownGroup != null) {
+      ownGroup.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly(2, TimeUnit.SECONDS);
+    }
+  }
+
+  /**
+   * Sends a message to a host. Opens a connection when there is none.
+   *
+   * @param address host and port of its listener; null to use only what is known already
+   */
+  public void send(HostId to, @Nullable String address, PeerMessage message) {
+    if (!stopped && !to.equals(options.host())) {
+      byHost.computeIfAbsent(to, h -> new Link(this, h)).send(address, message);
+    }
+  }
+
+  /** Sends a message to whichever host listens on an address, for example that of a seed. */
+  public void sendToAddress(String address, PeerMessage message) {
+    if (!stopped) {
+      byAddress.computeIfAbsent(address, a -> new Link(this, null)).send(address, message);
+    }
+  }
+
+  /** Closes the connection to a host that is gone and drops what waits for it. */
+  public void forget(HostId host) {
+    byHost.remove(host);
+    for (PeerChannel c : channels) {
+      if (host.equals(c.host())) {
+        c.close();
+      }
+    }
+  }
+
+  /** Returns the counters. */
+  public TransportCounters counters() {
+    return counters;
+  }
+
+  /** Returns the state for a dump: connections and queues by peer. */
+  public Map<String, Object> dump() {
+    Map<String, Object> links = new LinkedHashMap<>();
+    byHost.forEach(
+        (host, link) ->
+            links.put(
+                host.value(),
+                Map.of(
+                    "address", String.valueOf(link.address()),
+                    "connected", link.connected(),
+                    "queued", link.queued())));
+    Map<String, Object> all = new LinkedHashMap<>();
+    all.put("tls", tls != null);
+    all.put("connections", channels.size());
+    all.put("links", links);
+    all.put("counters", counters.snapshot());
+    return all;
+  }
+
+  HostId host() {
+    return options.host();
+  }
+
+  long incarnation() {
+    return options.incarnation().getAsLong();
+  }
+
+  void deliver(HostId from, long incarnation, PeerMessage message) {
+    listener.received(from, incarnation, message);
+  }
+
+  void unexpected(Throwable error) {
+    unexpected.accept(error);
+  }
+
+  /** Returns a time between a half and the whole of the backoff. */
+  long jitter(long backoffNanos) {
+    return backoffNanos / 2 + ThreadLocalRandom.current().nextLong(backoffNanos / 2 + 1);
+  }
+
+  void connect(Link link, String address) {
+    EventLoopGroup g = group;
+    if (stopped || g == null) {
+      return;
+    }
+    HostAndPort target = HostAndPort.fromString(address);
+    counters.connectionsOpened.increment();
+    new Bootstrap()
+        .group(g)
+        .channel(NioSocketChannel.class)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, TransportLimits.CONNECT_TIMEOUT_MILLIS)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .handler(initializer(link, target))
+        .connect(target.getHost(), target.getPort())
+        .addListener(
+            f -> {
+              if (!f.isSuccess()) {
+                counters.connectFailures.increment();
+                link.connectFailed();
+              }
+            });
+  }
+
+  void channelOpened(PeerChannel channel) {
+    channels.add(channel);
+    if (!channel.accepted()) {
+      return;
+    }
+    counters.connectionsAccepted.increment();
+    if (acceptedChannels.incrementAndGet() > TransportLimits.MAX_ACCEPTED) {
+      counters.refused(FrameRefusal.TOO_MANY_CONNECTIONS);
+      channel.close();
+    }
+  }
+
+  /** The first frame of a connection named its sender. */
+  void identified(PeerChannel channel, HostId from) {
+    byHost.computeIfAbsent(from, h -> new Link(this, h)).attach(channel);
+  }
+
+  void channelClosed(PeerChannel channel, @Nullable Link opener) {
+    if (channels.remove(channel) && channel.accepted()) {
+      acceptedChannels.decrementAndGet();
+    }
+    if (stopped) {
+      return;
+    }
+    if (opener != null) {
+      opener.closed(channel, true);
+    }
+    Link link = linkOf(channel);
+    if (link != null && link != opener) {
+      link.closed(channel, false);
+    }
+  }
+
+  void silent(PeerChannel channel) {
+    Link link = linkOf(channel);
+    if (link != null) {
+      link.silent(channel);
+    }
+  }
+
+  void writable(PeerChannel channel) {
+    Link link = linkOf(channel);
+    if (link != null) {
+      link.advance();
+    }
+  }
+
+  private @Nullable Link linkOf(PeerChannel channel) {
+    HostId host = channel.host();
+    return host == null ? null : byHost.get(host);
+  }
+
+  private void watch() {
+    long now = System.nanoTime();
+    boolean late = now - lastWatchNanos > TransportLimits.WATCH_LATE_NANOS;
+    lastWatchNanos = now;
+    for (PeerChannel c : new ArrayList<>(channels)) {
+      c.onLoop(() -> c.watch(now, late));
+    }
+    byHost.values().forEach(Link::retry);
+    byAddress.values().forEach(Link::retry);
+  }
+
+  private ChannelInitializer<Channel> initializer(
+      @Nullable Link opener, @Nullable HostAndPort target) {
+    return new ChannelInitializer<>() {
+      @Override
+      protected void initChannel(Channel channel) {
+        ChannelPipeline p = channel.pipeline();
+        p.addLast(traffic);
+        if (tls != null) {
+          SslHandler ssl =
+              target == null
+                  ? tls.server().newHandler(channel.alloc())
+                  : tls.client().newHandler(channel.alloc(), target.getHost(), target.getPort());
+          ssl.setHandshakeTimeoutMillis(TransportLimits.HANDSHAKE_TIMEOUT_MILLIS);
+          p.addLast(ssl);
+        }
+        p.addLast(new CountingFrameDecoder(counters));
+        p.addLast(new ProtobufDecoder(Envelope.getDefaultInstance()));
+        p.addLast(new LengthFieldPrepender(TransportLimits.LENGTH_BYTES));
+        p.addLast(new ProtobufEncoder());
+        p.addLast(new PeerChannel(PeerTransport.this, opener));
+      }
+    };
+  }
+}
--- /dev/null
+++ b/wire/src/main/java/org/mustardlatch/wire/TransportCounters.java
@@ -0,0 +1,53 @@
+package org.mustardlatch.wire;
+
+import com.google.common.util.concurrent.AtomicLongMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.atomic.LongAdder;
+
+/** Counts of a transport since its start. Safe for use by several threads. */
+public final class TransportCounters {
+  final LongAdder framesSent = new LongAdder();
+  final LongAdder framesReceived = new LongAdder();
+  final LongAdder bytesSent = new LongAdder();
+  final LongAdder bytesReceived = new LongAdder();
+  final LongAdder queueDrops = new LongAdder();
+  final LongAdder queueExpired = new LongAdder();
+  final LongAdder connectionsOpened = new LongAdder();
+  final LongAdder connectionsAccepted = new LongAdder();
+  final LongAdder connectFailures = new LongAdder();
+  final LongAdder silentClosed = new LongAdder();
+  final LongAdder unusedClosed = new LongAdder();
+  private final AtomicLongMap<FrameRefusal> refusals = AtomicLongMap.create();
+
+  TransportCounters() {}
+
+  void refused(FrameRefusal reason) {
+    refusals.incrementAndGet(reason);
+  }
+
+  /** Returns how many frames or connections were refused for this reason. */
+  public long refusals(FrameRefusal reason) {
+    return refusals.get(reason);
+  }
+
+  /** Returns all counts by name. Bytes are those on the socket, with TLS and without TCP/IP. */
+  public Map<String, Long> snapshot() {
+    Map<String, Long> all = new LinkedHashMap<>();
+    all.put("frames_sent", framesSent.sum());
+    all.put("frames_received", framesReceived.sum());
+    all.put("bytes_sent", bytesSent.sum());
+    all.put("bytes_received", bytesReceived.sum());
+    all.put("queue_drops", queueDrops.sum());
+    all.put("queue_expired", queueExpired.sum());
+    all.put("connections_opened", connectionsOpened.sum());
+    all.put("connections_accepted", connectionsAccepted.sum());
+    all.put("connect_failures", connectFailures.sum());
+    all.put("silent_closed", silentClosed.sum());
+    all.put("unused_closed", unusedClosed.sum());
+    for (FrameRefusal reason : FrameRefusal.values()) {
+      all.put("refused_" + reason.label(), refusals(reason));
+    }
+    return all;
+  }
+}
--- a/wire/src/main/java/org/mustardlatch/wire/package-info.java
+++ b/wire/src/main/java/org/mustardlatch/wire/package-info.java
@@ -1,4 +1,4 @@
-/** Placeholder. */
+/** Transport and codec of messages between nodes: Netty, protobuf and mutual TLS. */
 @NullMarked
 package org.mustardlatch.wire;
 
--- /dev/null
+++ b/wire/src/test/java/org/mustardlatch/wire/PeerTransportTest.java
@@ -0,0 +1,262 @@
+package org.mustardlatch.wire;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.mustardlatch.core.model.HostId;
+import org.mustardlatch.core.peer.PeerMessage;
+import org.mustardlatch.core.peer.RolloutMessage.ConfigBody;
+import org.mustardlatch.core.peer.RolloutMessage.ConfigFetch;
+import org.mustardlatch.wire.generated.PeerProto.Envelope;
+
+/** Guards against strangers, damaged frames and connections that go silent. */
+class PeerTransportTest {
+  private static final HostId A = new HostId("a");
+  private static final HostId B = new HostId("b");
+
+  private record Inbound(HostId from, long incarnation, PeerMessage message) {}
+
+  private final BlockingQueue<Inbound> inbox = new LinkedBlockingQueue<>();
+  private final List<Throwable> unexpected = new ArrayList<>();
+  private final List<PeerTransport> started = new ArrayList<>();
+  @TempDir Path directory;
+
+  @AfterEach
+  void stopAll() {
+    started.forEach(PeerTransport::stop);
+    assertThat(unexpected).isEmpty();
+  }
+
+  private PeerTransport transport(HostId host, @Nullable TlsFiles tls, int port) {
+    return new PeerTransport(
+        new PeerTransportOptions(host, () -> 7, loopback(port), tls, null),
+        (from, incarnation, message) -> inbox.add(new Inbound(from, incarnation, message)),
+        unexpected::add);
+  }
+
+  private InetSocketAddress start(PeerTransport t) {
+    started.add(t);
+    return t.start();
+  }
+
+  private static InetSocketAddress loopback(int port) {
+    return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+  }
+
+  private static String text(InetSocketAddress address) {
+    return address.getAddress().getHostAddress() + ":" + address.getPort();
+  }
+
+  private Inbound received() throws InterruptedException {
+    Inbound next = inbox.poll(20, TimeUnit.SECONDS);
+    assertThat(next).isNotNull();
+    return next;
+  }
+
+  private static void await(BooleanSupplier condition) throws InterruptedException {
+    CountDownLatch never = new CountDownLatch(1);
+    for (int i = 0; i < 2_000 && !condition.getAsBoolean(); i++) {
+      assertThat(never.await(10, TimeUnit.MILLISECONDS)).isFalse();
+    }
+    assertThat(condition.getAsBoolean()).isTrue();
+  }
+
+  private static byte[] frame(String host, long sequence) {
+    Envelope.Builder b =
+        Envelope.newBuilder().setHost(host).setIncarnation(1).setSequence(sequence);
+    PeerCodec.encode(new ConfigFetch(sequence), b);
+    return b.build().toByteArray();
+  }
+
+  @Test
+  void answersComeBackOverTheSameConnection() throws Exception {
+    PeerTransport a = transport(A, null, 0);
+    PeerTransport b = transport(B, null, 0);
+    start(a);
+    InetSocketAddress atB = start(b);
+    a.send(B, text(atB), new ConfigFetch(1));
+    assertThat(received()).isEqualTo(new Inbound(A, 7, new ConfigFetch(1)));
+    b.send(A, null, new ConfigBody(1, "x".repeat(1_000_000)));
+    assertThat(received().message()).isEqualTo(new ConfigBody(1, "x".repeat(1_000_000)));
+    assertThat(b.counters().snapshot()).containsEntry("connections_opened", 0L);
+  }
+
+  @Test
+  void connectionsWithoutTlsStayOnLoopback() {
+    assertThrows(
+        IllegalArgumentException.class,
+        () ->
+            new PeerTransportOptions(A, () -> 1, new InetSocketAddress("0.0.0.0", 0), null, null));
+  }
+
+  @Test
+  void peersWithCertificatesOfTheFleetTalk() throws Exception {
+    TestCertificates ca = new TestCertificates(directory, "fleet");
+    start(transport(A, ca.issue("a"), 0));
+    InetSocketAddress atB = start(transport(B, ca.issue("b"), 0));
+    started.get(0).sendToAddress(text(atB), new ConfigFetch(1));
+    assertThat(received().from()).isEqualTo(A);
+    started.get(1).send(A, null, new ConfigFetch(2));
+    assertThat(received().from()).isEqualTo(B);
+  }
+
+  @Test
+  void aStrangersCertificateIsRefusedAndCounted() throws Exception {
+    TestCertificates ca = new TestCertificates(directory, "fleet");
+    PeerTransport b = transport(B, ca.issue("b"), 0);
+    InetSocketAddress atB = start(b);
+    TlsFiles own = new TestCertificates(directory, "stranger").issue("a");
+    TlsFiles stranger = new TlsFiles(own.certificate(), own.key(), ca.issue("c").ca());
+    PeerTransport a = transport(A, stranger, 0);
+    start(a);
+    a.send(B, text(atB), new ConfigFetch(1));
+    await(() -> b.counters().refusals(FrameRefusal.STRANGER) > 0);
+    assertThat(inbox).isEmpty();
+  }
+
+  @Test
+  void aHostThatItsCertificateDoesNotStateIsRefused() throws Exception {
+    TestCertificates ca = new TestCertificates(directory, "fleet");
+    PeerTransport b = transport(B, ca.issue("b"), 0);
+    InetSocketAddress atB = start(b);
+    PeerTransport a = transport(A, ca.issue("other"), 0);
+    start(a);
+    a.send(B, text(atB), new ConfigFetch(1));
+    await(() -> b.counters().refusals(FrameRefusal.HOST_MISMATCH) > 0);
+    assertThat(inbox).isEmpty();
+  }
+
+  @Test
+  void aServerThatIsNotTheExpectedHostGetsNothing() throws Exception {
+    TestCertificates ca = new TestCertificates(directory, "fleet");
+    InetSocketAddress atB = start(transport(B, ca.issue("b"), 0));
+    PeerTransport a = transport(A, ca.issue("a"), 0);
+    start(a);
+    a.send(new HostId("c"), text(atB), new ConfigFetch(1));
+    await(() -> a.counters().refusals(FrameRefusal.HOST_MISMATCH) > 0);
+    assertThat(inbox).isEmpty();
+  }
+
+  @Test
+  void damagedFramesAreRefusedByReasonAndOthersStillArrive() throws Exception {
+    PeerTransport b = transport(B, null, 0);
+    InetSocketAddress atB = start(b);
+    try (Socket s = connect(atB)) {
+      DataOutputStream out = new DataOutputStream(s.getOutputStream());
+      write(out, frame("a", 1));
+      write(out, frame("a", 1));
+      assertThat(s.getInputStream().read()).isEqualTo(-1);
+    }
+    await(() -> b.counters().refusals(FrameRefusal.REPLAYED) == 1);
+    try (Socket s = connect(atB)) {
+      byte[] whole = frame("a", 1);
+      DataOutputStream out = new DataOutputStream(s.getOutputStream());
+      out.writeInt(whole.length);
+      out.write(whole, 0, whole.length - 1);
+    }
+    await(() -> b.counters().refusals(FrameRefusal.TRUNCATED) == 1);
+    try (Socket s = connect(atB)) {
+      new DataOutputStream(s.getOutputStream()).writeInt(TransportLimits.MAX_FRAME_BYTES + 1);
+      assertThat(s.getInputStream().read()).isEqualTo(-1);
+    }
+    await(() -> b.counters().refusals(FrameRefusal.OVERSIZED) == 1);
+    try (Socket s = connect(atB)) {
+      write(new DataOutputStream(s.getOutputStream()), new byte[] {1, 2, 3});
+      assertThat(s.getInputStream().read()).isEqualTo(-1);
+    }
+    await(() -> b.counters().refusals(FrameRefusal.MALFORMED) == 1);
+    try (Socket s = connect(atB)) {
+      write(new DataOutputStream(s.getOutputStream()), frame("b", 1));
+      assertThat(s.getInputStream().read()).isEqualTo(-1);
+    }
+    await(() -> b.counters().refusals(FrameRefusal.OWN_HOST) == 1);
+    assertThat(received().message()).isEqualTo(new ConfigFetch(1));
+    assertThat(inbox).isEmpty();
+    PeerTransport a = transport(A, null, 0);
+    start(a);
+    a.send(B, text(atB), new ConfigFetch(5));
+    assertThat(received().message()).isEqualTo(new ConfigFetch(5));
+  }
+
+  private static Socket connect(InetSocketAddress to) throws IOException {
+    Socket s = new Socket(to.getAddress(), to.getPort());
+    s.setSoTimeout(20_000);
+    return s;
+  }
+
+  private static void write(DataOutputStream out, byte[] frame) throws IOException {
+    out.writeInt(frame.length);
+    out.write(frame);
+    out.flush();
+  }
+
+  @Test
+  void messagesArriveAgainAfterThePeerRestarted() throws Exception {
+    PeerTransport a = transport(A, null, 0);
+    start(a);
+    PeerTransport b = transport(B, null, 0);
+    InetSocketAddress atB = start(b);
+    a.send(B, text(atB), new ConfigFetch(1));
+    assertThat(received().message()).isEqualTo(new ConfigFetch(1));
+    b.stop();
+    start(transport(B, null, atB.getPort()));
+    PeerMessage second = new ConfigFetch(2);
+    await(
+        () -> {
+          a.send(B, text(atB), second);
+          return inbox.stream().anyMatch(i -> i.message().equals(second));
+        });
+  }
+
+  /** A connection whose peer reads nothing more must not be used until TCP gives up. */
+  @Test
+  void aSilentConnectionIsReplacedByAFreshOne() throws Exception {
+    PeerTransport a = transport(A, null, 0);
+    start(a);
+    try (ServerSocket mute = new ServerSocket(0, 8, InetAddress.getLoopbackAddress())) {
+      mute.setSoTimeout(20_000);
+      a.send(B, text(loopback(mute.getLocalPort())), new ConfigFetch(1));
+      try (Socket first = mute.accept();
+          Socket second = mute.accept()) {
+        assertThat(first.isConnected()).isTrue();
+        assertThat(second.isConnected()).isTrue();
+      }
+      assertThat(a.counters().snapshot()).containsEntry("silent_closed", 1L);
+    }
+  }
+
+  @Test
+  void aFullQueueDropsTheOldestMessagesAndCountsThem() throws Exception {
+    PeerTransport a = transport(A, null, 0);
+    start(a);
+    int port;
+    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      port = free.getLocalPort();
+    }
+    int sent = TransportLimits.QUEUE_LIMIT + 10;
+    for (int i = 1; i <= sent; i++) {
+      a.send(B, text(loopback(port)), new ConfigFetch(i));
+    }
+    assertThat(a.counters().snapshot()).containsEntry("queue_drops", 10L);
+    start(transport(B, null, port));
+    assertThat(received().message()).isEqualTo(new ConfigFetch(11));
+  }
+}
--- /dev/null
+++ b/wire/src/test/java/org/mustardlatch/wire/package-info.java
@@ -0,0 +1,4 @@
+@NullMarked
+package org.mustardlatch.wire;
+
+import org.jspecify.annotations.NullMarked;
