--- a/daemon/src/main/java/org/mustardlatch/daemon/log/LogEvent.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/log/LogEvent.java
@@ -24,7 +24,13 @@
   MANIFEST_REFUSED(4002, Level.WARN, "manifest refused with {} findings"),
   MANIFEST_ACCEPTED(4010, Level.INFO, "published manifest revision {} is accepted"),
   CONFIGURATION_READY(4011, Level.INFO, "configuration is ready with revision {}"),
-  MANIFEST_UNUSABLE(4012, Level.ERROR, "manifest revision {} from a peer can't be used");
+  MANIFEST_UNUSABLE(4012, Level.ERROR, "manifest revision {} from a peer can't be used"),
+  LEDGER_STORE_FAILS(5001, Level.WARN, "object service fails for ledger shard {}: {}"),
+  LEDGER_STORE_BACK(5002, Level.INFO, "object service works again for ledger shard {}"),
+  LEDGER_WRITE_UNKNOWN(5003, Level.WARN, "result of a write of ledger shard {} is not known: {}"),
+  UPSTREAM_ERROR(6001, Level.WARN, "upstream {} answered {} to attempt {}: {}"),
+  UPSTREAM_CALL_BROKEN(6002, Level.WARN, "upstream {} broke off attempt {}: {}"),
+  CANCEL_NOT_ACKNOWLEDGED(6003, Level.WARN, "upstream {} did not acknowledge cancel of {}");
 
   private final int number;
   private final Level level;
--- a/wire/src/main/java/org/mustardlatch/wire/AdmissionCodec.java
+++ b/wire/src/main/java/org/mustardlatch/wire/AdmissionCodec.java
@@ -20,6 +20,14 @@
   static void encode(AdmissionMessage message, Envelope.Builder out) {
     switch (message) {
       case AdmissionMessage.Reserve m -> out.setReserve(reserve(m));
+      case AdmissionMessage.ReserveDecode m -> out.setReserveDecode(reserveDecode(m));
+      case AdmissionMessage.ReserveQueued m ->
+          out.getReserveQueuedBuilder()
+              .setAttempt(attempt(m.attempt()))
+              .setPredictedWaitNanos(m.predictedWaitNanos())
+              .setSummary(summary(m.summary()));
+      case AdmissionMessage.ReserveWithdraw m ->
+          out.getReserveWithdrawBuilder().setAttempt(attempt(m.attempt())).setCell(m.cell());
       case AdmissionMessage.ReserveGranted m ->
           out.getReserveGrantedBuilder()
               .setAttempt(attempt(m.attempt()))
@@ -53,6 +61,15 @@
   static AdmissionMessage decode(Envelope e) {
     return switch (e.getBodyCase()) {
       case RESERVE -> reserve(e.getReserve());
+      case RESERVE_DECODE -> reserveDecode(e.getReserveDecode());
+      case RESERVE_QUEUED -> {
+        PeerProto.ReserveQueued m = e.getReserveQueued();
+        yield new AdmissionMessage.ReserveQueued(
+            attempt(m.getAttempt()), m.getPredictedWaitNanos(), summary(m.getSummary()));
+      }
+      case RESERVE_WITHDRAW ->
+          new AdmissionMessage.ReserveWithdraw(
+              attempt(e.getReserveWithdraw().getAttempt()), e.getReserveWithdraw().getCell());
       case RESERVE_GRANTED -> {
         PeerProto.ReserveGranted m = e.getReserveGranted();
         yield new AdmissionMessage.ReserveGranted(
@@ -123,6 +140,35 @@
         m.getExcludedList().stream().map(UpstreamId::new).toList());
   }
 
+  private static PeerProto.ReserveDecode reserveDecode(AdmissionMessage.ReserveDecode m) {
+    return PeerProto.ReserveDecode.newBuilder()
+        .setAttempt(attempt(m.attempt()))
+        .setCell(m.cell())
+        .setWorkspace(m.workspace().value())
+        .setModel(m.model().value())
+        .setPromptTokens(m.promptTokens())
+        .setMaxOutputTokens(m.maxOutputTokens())
+        .setFingerprint(PeerCodec.digestToBytes(m.fingerprint().value()))
+        .setSource(m.source().value())
+        .setKvBudgetNanos(m.kvBudgetNanos())
+        .addAllExcluded(m.excluded().stream().map(UpstreamId::value).toList())
+        .build();
+  }
+
+  private static AdmissionMessage.ReserveDecode reserveDecode(PeerProto.ReserveDecode m) {
+    return new AdmissionMessage.ReserveDecode(
+        attempt(m.getAttempt()),
+        m.getCell(),
+        new WorkspaceId(m.getWorkspace()),
+        new ModelId(m.getModel()),
+        m.getPromptTokens(),
+        m.getMaxOutputTokens(),
+        PeerCodec.fingerprint(m.getFingerprint()),
+        new UpstreamId(m.getSource()),
+        m.getKvBudgetNanos(),
+        m.getExcludedList().stream().map(UpstreamId::new).toList());
+  }
+
   private static PeerProto.Attempt attempt(AttemptId attempt) {
     return PeerProto.Attempt.newBuilder()
         .setRequest(attempt.request().value())
--- a/wire/src/main/java/org/mustardlatch/wire/PeerCodec.java
+++ b/wire/src/main/java/org/mustardlatch/wire/PeerCodec.java
@@ -44,7 +44,10 @@
           RESERVE_REFUSED,
           RESERVATION_RENEW,
           RESERVATION_RELEASE,
-          CELL_SUMMARY ->
+          CELL_SUMMARY,
+          RESERVE_DECODE,
+          RESERVE_QUEUED,
+          RESERVE_WITHDRAW ->
           AdmissionCodec.decode(envelope);
       case BUDGET_LEASE_REQUEST, BUDGET_LEASE -> BudgetCodec.decode(envelope);
       case CRASH_REPORT, RUN_REQUEST, RUN_PERMISSION, CLEARED, LEAVING_NOTICE ->
--- a/wire/src/test/java/org/mustardlatch/wire/PeerCodecTest.java
+++ b/wire/src/test/java/org/mustardlatch/wire/PeerCodecTest.java
@@ -64,21 +64,6 @@
                 new RolloutMessage.ConfigFetch(7),
                 new RolloutMessage.ConfigBody(7, "[manifest]\nname = \"é\"\n"),
                 new RolloutMessage.ConfigApplied(7),
-                new AdmissionMessage.Reserve(
-                    ATTEMPT,
-                    "cell-7",
-                    new WorkspaceId("w"),
-                    new ModelId("m"),
-                    100,
-                    200,
-                    List.of(-1L, 5L),
-                    PRINT,
-                    900_000_000L,
-                    -1L,
-                    List.of(UPSTREAM)),
-                new AdmissionMessage.ReserveGranted(ATTEMPT, UPSTREAM, UPSTREAM, 5, SUMMARY),
-                new AdmissionMessage.ReserveRefused(ATTEMPT, ErrorCode.OVERLOADED, 5, SUMMARY),
-                SUMMARY,
                 new BudgetMessage.BudgetLeaseRequest("retry", 1.5),
                 new BudgetMessage.BudgetLease("retry", 0.5, 1_000_000_000L),
                 new EvidenceMessage.CrashReport(UPSTREAM, "c-1", List.of(PRINT)),
@@ -90,6 +75,7 @@
                 new LedgerMessage.LedgerStarted("k", "n", "STARTED", "n2", 0, null),
                 new LedgerMessage.LedgerFinish(3, "k", "n", "FINISHED", 200, ""),
                 new LedgerMessage.LedgerFinish(3, "k", "n", "UNKNOWN", 0, null)));
+    all.addAll(admissionSamples());
     for (AdmissionMessage.Stage s : AdmissionMessage.Stage.values()) {
       all.add(new AdmissionMessage.ReservationRenew(ATTEMPT, "cell-7", UPSTREAM, s, 17));
     }
@@ -102,6 +88,38 @@
     return all;
   }
 
+  private static List<PeerMessage> admissionSamples() {
+    return List.of(
+        new AdmissionMessage.Reserve(
+            ATTEMPT,
+            "cell-7",
+            new WorkspaceId("w"),
+            new ModelId("m"),
+            100,
+            200,
+            List.of(-1L, 5L),
+            PRINT,
+            900_000_000L,
+            -1L,
+            List.of(UPSTREAM)),
+        new AdmissionMessage.ReserveDecode(
+            ATTEMPT,
+            "cell-7",
+            new WorkspaceId("w"),
+            new ModelId("m"),
+            100,
+            200,
+            PRINT,
+            UPSTREAM,
+            300_000_000L,
+            List.of(UPSTREAM)),
+        new AdmissionMessage.ReserveQueued(ATTEMPT, 6, SUMMARY),
+        new AdmissionMessage.ReserveWithdraw(ATTEMPT, "cell-7"),
+        new AdmissionMessage.ReserveGranted(ATTEMPT, UPSTREAM, UPSTREAM, 5, SUMMARY),
+        new AdmissionMessage.ReserveRefused(ATTEMPT, ErrorCode.OVERLOADED, 5, SUMMARY),
+        SUMMARY);
+  }
+
   @Test
   void everyMessageSurvivesTheRoundTrip() throws InvalidProtocolBufferException {
     for (PeerMessage m : samples()) {
