--- a/core/src/main/java/org/mustardlatch/core/ledger/KeyedRequest.java
+++ b/core/src/main/java/org/mustardlatch/core/ledger/KeyedRequest.java
@@ -14,9 +14,6 @@
 public final class KeyedRequest {
   private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
 
-  /** Time after the deadline in which the owner's late answer is still handled. */
-  private static final Duration LINGER = Duration.ofSeconds(30);
-
   private final Attempt attempt;
   private final long deadlineNanos;
   private final KeyedPolicy policy;
@@ -24,9 +21,6 @@
   private Step step = Step.NEW;
   private boolean forwarded;
   private boolean ownerRefused;
-  private boolean ownerAnswered;
-  private boolean directAnswered;
-  private boolean lingered;
   private boolean startedDirectly;
   private boolean directRefused;
   private boolean finishedDirectly;
@@ -60,14 +54,11 @@
   }
 
   /**
-   * Returns whether the caller was answered and nothing of this request is left to do here. A
-   * request that was not dispatched waits for the answers to its starts, to cancel a record that
-   * nobody would use.
+   * Returns whether the caller was answered and the record needs nothing more from this request. An
+   * answer to a start that comes later is a case for {@link LedgerNode}.
    */
   public boolean done() {
-    boolean ownerSettled = !forwarded || ownerAnswered || lingered;
-    boolean directSettled = !startedDirectly || directAnswered;
-    return step == Step.DONE && replied && (dispatched || (ownerSettled && directSettled));
+    return step == Step.DONE && replied;
   }
 
   /** Handles one event; {@code nowNanos} is monotonic time. */
@@ -92,8 +83,6 @@
     if (forward) {
       forwarded = true;
       out.accept(new KeyedCommand.ForwardStart(attempt));
-      long linger = deadlineNanos + LINGER.toNanos();
-      out.accept(new KeyedCommand.SetTimer(KeyedTimer.LINGER, linger));
       long wait = nowNanos + policy.forwardWait().toNanos();
       out.accept(new KeyedCommand.SetTimer(KeyedTimer.FORWARD, wait));
     } else {
@@ -108,8 +97,6 @@
 
   private void startAnswered(
       StartPath path, StartResult result, long nowNanos, Consumer<KeyedCommand> out) {
-    ownerAnswered |= path == StartPath.OWNER;
-    directAnswered |= path == StartPath.DIRECT;
     switch (result) {
       case StartResult.Started s -> started(nowNanos, out);
       case StartResult.Existing e -> {
@@ -129,9 +116,6 @@
       out.accept(new KeyedCommand.Dispatch());
     } else if (step == Step.STARTING) {
       cancel(nowNanos, out);
-    } else if (step == Step.DONE && !dispatched) {
-      // The other path created the record after this request was answered from elsewhere.
-      out.accept(new KeyedCommand.CancelDirectly(attempt, false));
     }
   }
 
@@ -177,7 +161,6 @@
   }
 
   private void cancelled(Consumer<KeyedCommand> out) {
-    directAnswered = true;
     if (step == Step.CANCELLING) {
       step = Step.DONE;
       reply(cancelReply, out);
@@ -250,7 +233,6 @@
           reply(new KeyedReply.OutcomeUnknown(), out);
         }
       }
-      case LINGER -> lingered = true;
       case FINISH -> {
         if (step == Step.FINISHING) {
           reply(new KeyedReply.Ran(), out);
--- a/core/src/main/java/org/mustardlatch/core/ledger/KeyedTimer.java
+++ b/core/src/main/java/org/mustardlatch/core/ledger/KeyedTimer.java
@@ -9,7 +9,5 @@
   /** The cancellation of the record took too long. */
   CANCEL,
   /** The finish record took too long. */
-  FINISH,
-  /** The owner's answer to the start no longer matters. */
-  LINGER
+  FINISH
 }
--- a/core/src/main/java/org/mustardlatch/core/ledger/LedgerNode.java
+++ b/core/src/main/java/org/mustardlatch/core/ledger/LedgerNode.java
@@ -20,6 +20,7 @@
  */
 public final class LedgerNode {
   private final HostId self;
+  private final String noncePrefix;
   private final Supplier<LedgerLimits> limits;
   private final KeyedPolicy policy;
   private final LedgerOutput out;
@@ -35,11 +36,22 @@
   /**
    * Creates the ledger of a node.
    *
+   * @param noncePrefix starts the nonces of this process and of no other, 16 lower-case hexadecimal
+   *     digits
    * @param limits limits from the manifest in force; read whenever a shard is opened
    */
   public LedgerNode(
-      HostId self, Supplier<LedgerLimits> limits, KeyedPolicy policy, LedgerOutput out) {
+      HostId self,
+      String noncePrefix,
+      Supplier<LedgerLimits> limits,
+      KeyedPolicy policy,
+      LedgerOutput out) {
+    if (!noncePrefix.matches("[0-9a-f]{16}")) {
+      throw new IllegalArgumentException(
+          "a nonce prefix has 16 hexadecimal digits, got " + noncePrefix);
+    }
     this.self = self;
+    this.noncePrefix = noncePrefix;
     this.limits = limits;
     this.policy = policy;
     this.out = out;
@@ -54,10 +66,13 @@
   /**
    * Begins a request.
    *
-   * @param attempt a new attempt of this node
+   * @param attempt a new attempt of this node, its nonce with the prefix of this process
    * @param deadlineNanos final deadline, monotonic time
    */
   public void begin(Attempt attempt, long deadlineNanos, Now time) {
+    if (!attempt.nonce().startsWith(noncePrefix)) {
+      throw new IllegalArgumentException("nonce " + attempt.nonce() + " is not of this process");
+    }
     KeyedRequest request = new KeyedRequest(attempt, deadlineNanos, policy);
     requests.put(attempt.nonce(), request);
     boolean forward = ownerOf(attempt.key()).isPresent();
@@ -89,7 +104,8 @@
       }
       case LedgerMessage.LedgerStarted m -> {
         KeyedEvent event = LedgerMessages.event(m);
-        turn(time, () -> keyed(m.askedNonce(), event));
+        LedgerKey key = new LedgerKey(m.key());
+        turn(time, () -> startedOrLate(key, m.askedNonce(), event));
       }
       case LedgerMessage.LedgerFinish m -> {
         ShardEvent.FinishRequested finish = LedgerMessages.finishRequest(m);
@@ -193,11 +209,28 @@
   }
 
   private void startAnswer(ShardCommand.StartAnswer c) {
-    String nonce = c.attempt().nonce();
-    if (c.attempt().host().equals(self.value())) {
-      work.add(() -> keyed(nonce, new KeyedEvent.StartAnswered(StartPath.DIRECT, c.result())));
-    } else {
-      out.send(new HostId(c.attempt().host()), LedgerMessages.answer(c.attempt(), c.result()));
+    Attempt attempt = c.attempt();
+    KeyedEvent event = new KeyedEvent.StartAnswered(StartPath.DIRECT, c.result());
+    if (attempt.nonce().startsWith(noncePrefix)) {
+      work.add(() -> startedOrLate(attempt.key(), attempt.nonce(), event));
+    } else if (!attempt.host().equals(self.value())) {
+      out.send(new HostId(attempt.host()), LedgerMessages.answer(attempt, c.result()));
+    }
+  }
+
+  /**
+   * Handles an answer to a start. A request of this process that is over was either not dispatched,
+   * and then a record made late for it would block its key, or its end is stored, and then
+   * cancelling changes nothing.
+   */
+  private void startedOrLate(LedgerKey key, String nonce, KeyedEvent event) {
+    boolean started =
+        event instanceof KeyedEvent.StartAnswered a && a.result() instanceof StartResult.Started;
+    if (requests.containsKey(nonce)) {
+      keyed(nonce, event);
+    } else if (started && nonce.startsWith(noncePrefix)) {
+      Attempt late = new Attempt(key, "-", nonce, self.value(), 0);
+      later(key, new ShardEvent.CancelRequested(late, false));
     }
   }
 
--- a/core/src/main/java/org/mustardlatch/core/ledger/RecordRules.java
+++ b/core/src/main/java/org/mustardlatch/core/ledger/RecordRules.java
@@ -78,7 +78,7 @@
     LedgerRecord found = editor.recent(attempt.key());
     if (found != null && found.nonce().equals(attempt.nonce())) {
       if (found.state() != RecordState.STARTED) {
-        return Decision.settled(done);
+        return Decision.passing(done); // an owner that was paused may have started it again
       }
       editor.put(found.to(RecordState.CANCELLED, 0, null, nowSeconds));
       return Decision.edit(done);
