Wire NodeRouter, ledger and pass-through routes into the daemon

The placeholder policy is gone; NodeRouter runs on the event loop and a poller reads load and held attempts of the engines that it admits to. Calls of non-idempotent routes go through the ledger and are sent once, on a connection of their own with a one-shot body: OkHttp would send a POST again on 503 with Retry-After 0, and a pooled connection that was just closed would leave the outcome unknown.

--- a/daemon/src/main/java/org/mustardlatch/daemon/Daemon.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/Daemon.java
@@ -4,13 +4,19 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.security.SecureRandom;
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.random.RandomGenerator;
+import org.mustardlatch.core.ledger.KeyedPolicy;
+import org.mustardlatch.core.ledger.LedgerLimits;
+import org.mustardlatch.core.manifest.LedgerPolicy;
+import org.mustardlatch.core.routing.NodeRouter;
 import org.mustardlatch.core.routing.RoutingEvent;
-import org.mustardlatch.core.routing.RoutingPolicy;
 import org.mustardlatch.core.settings.Settings;
 import org.mustardlatch.daemon.caller.CallerApi;
+import org.mustardlatch.daemon.ledger.LedgerService;
 import org.mustardlatch.daemon.log.EventLog;
 import org.mustardlatch.daemon.log.LogEvent;
 import org.mustardlatch.daemon.node.AppliedManifest;
@@ -26,13 +32,16 @@
 import org.mustardlatch.daemon.store.ManifestStore;
 import org.mustardlatch.daemon.store.ObjectStoreClient;
 import org.mustardlatch.daemon.store.ObjectStoreTimeouts;
+import org.mustardlatch.daemon.upstream.ApplicationCalls;
 import org.mustardlatch.daemon.upstream.EngineCalls;
 import org.mustardlatch.daemon.upstream.Owner;
 import org.mustardlatch.daemon.upstream.UpstreamHosts;
+import org.mustardlatch.daemon.upstream.UpstreamPoller;
 
 /** One node: puts the services together, starts and stops them. */
 public final class Daemon {
   private static final Duration DRAIN_POLL = Duration.ofMillis(20);
+  private static final Duration LEDGER_DRAIN = Duration.ofSeconds(10);
 
   private final Settings settings;
   private final NodeState state = new NodeState();
@@ -43,30 +52,50 @@
   private final Membership members;
   private final ObjectStoreClient store;
   private final ManifestService manifests;
+  private final LedgerService ledger;
   private final RoutingService routing;
+  private final UpstreamPoller poller;
   private final CallerApi callers;
   private final OperatorApi operators;
   private final CountDownLatch drained = new CountDownLatch(1);
 
-  /**
-   * Creates a node that is not started.
-   *
-   * @param policy the routing decisions; used by one thread only
-   */
-  public Daemon(Settings settings, RoutingPolicy policy) {
+  /** Creates a node that is not started. */
+  public Daemon(Settings settings) {
     this.settings = settings;
     this.members = new SingleNode(settings);
-    this.store = new ObjectStoreClient(settings.objectService(), ObjectStoreTimeouts.DEFAULT, loop);
-    this.manifests =
-        new ManifestService(new ManifestStore(store, loop, new SecureRandom()), manifest, loop);
+    RandomGenerator random = new SecureRandom();
+    NodeRouter router =
+        new NodeRouter(
+            settings.host(),
+            settings.region(),
+            members.incarnation(),
+            RandomGenerator.of("L64X128MixRandom"));
+    store = new ObjectStoreClient(settings.objectService(), ObjectStoreTimeouts.DEFAULT, loop);
+    manifests = new ManifestService(new ManifestStore(store, loop, random), manifest, loop);
+    ledger =
+        new LedgerService(
+            settings.host(),
+            members,
+            store,
+            this::ledgerLimits,
+            KeyedPolicy.DEFAULT,
+            InstantSource.system(),
+            random);
+    Owner owner = new Owner(settings.host(), router::incarnation);
+    EngineCalls engines = new EngineCalls(hosts, manifest, loop, calls, owner, this::post);
+    routing = new RoutingService(loop, router, engines, (to, message) -> {});
+    poller = new UpstreamPoller(hosts, router::admittedEngines, loop, calls, this::post);
     PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
-    RequestMetrics metrics = new RequestMetrics(registry);
-    Owner owner = new Owner(settings.host(), members::incarnation);
-    EngineCalls engines =
-        new EngineCalls(hosts, manifest, loop, calls, owner, event -> post(event));
-    this.routing = new RoutingService(loop, policy, engines, (to, message) -> {});
-    this.callers = new CallerApi(settings.callerAddress(), state, manifest, routing, metrics);
-    this.operators =
+    callers =
+        new CallerApi(
+            settings.callerAddress(),
+            state,
+            manifest,
+            routing,
+            ledger,
+            new ApplicationCalls(hosts),
+            new RequestMetrics(registry));
+    operators =
         new OperatorApi(
             settings.operatorAddress(),
             state,
@@ -84,6 +113,8 @@
     post(new RoutingEvent.MembersChanged(members.live()));
     manifests.start();
     manifests.watch(true);
+    ledger.start();
+    poller.start();
     operators.start();
     callers.start();
   }
@@ -91,7 +122,7 @@
   /** Begins a graceful stop; returns at once. {@link #awaitDrained} tells when it is over. */
   public void drain() {
     if (state.enter(NodeState.Phase.DRAINING)) {
-      EventLog.log(LogEvent.DAEMON_DRAINING, routing.inProgress());
+      EventLog.log(LogEvent.DAEMON_DRAINING, callers.inProgress());
       loop.schedule(settings.drainDelay(), this::refuse);
     }
   }
@@ -101,11 +132,15 @@
     drained.await();
   }
 
-  /** Closes all listeners and connections. */
-  public void stop() {
-    state.enter(NodeState.Phase.STOPPED);
+  /** Closes all listeners and connections; does nothing the second time. */
+  public synchronized void stop() {
+    if (!state.enter(NodeState.Phase.STOPPED)) {
+      return;
+    }
     callers.stop();
     operators.stop();
+    poller.stop();
+    ledger.stop();
     manifests.stop();
     store.close();
     loop.stop();
@@ -129,10 +164,10 @@
   }
 
   private void awaitLast() {
-    if (callers.inProgress() == 0) {
-      drained.countDown();
-    } else {
+    if (callers.inProgress() > 0) {
       loop.schedule(DRAIN_POLL, this::awaitLast);
+    } else {
+      var unused = ledger.drain(LEDGER_DRAIN).thenRun(drained::countDown);
     }
   }
 
@@ -144,6 +179,11 @@
     }
   }
 
+  private LedgerLimits ledgerLimits() {
+    LedgerPolicy policy = manifest.orThrow().ledger();
+    return LedgerLimits.of(policy.retention(), policy.writesPerSecond());
+  }
+
   private void post(RoutingEvent event) {
     routing.post(event);
   }
--- a/daemon/src/main/java/org/mustardlatch/daemon/Main.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/Main.java
@@ -69,7 +69,7 @@
       return EXIT_USAGE;
     }
     long startNanos = System.nanoTime();
-    Daemon daemon = new Daemon(settings, RoutingPolicies.create(settings));
+    Daemon daemon = new Daemon(settings);
     try {
       daemon.start();
       stopOnSignal(daemon);
--- a/daemon/src/main/java/org/mustardlatch/daemon/caller/CallerApi.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/caller/CallerApi.java
@@ -5,7 +5,9 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.javalin.config.RoutesConfig;
 import io.javalin.http.Context;
+import io.javalin.http.HandlerType;
 import java.io.IOException;
+import java.util.List;
 import java.util.UUID;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.mustardlatch.core.error.ErrorCode;
@@ -13,6 +15,7 @@
 import org.mustardlatch.core.manifest.Manifest;
 import org.mustardlatch.core.model.RequestId;
 import org.mustardlatch.core.settings.SocketAddress;
+import org.mustardlatch.daemon.ledger.LedgerService;
 import org.mustardlatch.daemon.log.EventLog;
 import org.mustardlatch.daemon.log.LogEvent;
 import org.mustardlatch.daemon.node.HttpServer;
@@ -20,14 +23,24 @@
 import org.mustardlatch.daemon.node.NodeState;
 import org.mustardlatch.daemon.operator.RequestMetrics;
 import org.mustardlatch.daemon.routing.RoutingService;
+import org.mustardlatch.daemon.upstream.ApplicationCalls;
 
 /** The HTTP interface for callers. */
 public final class CallerApi {
   private static final String REQUEST_ID = "X-Request-Id";
+  private static final List<HandlerType> PASSED_METHODS =
+      List.of(
+          HandlerType.GET,
+          HandlerType.HEAD,
+          HandlerType.POST,
+          HandlerType.PUT,
+          HandlerType.PATCH,
+          HandlerType.DELETE);
 
   private final ManifestInForce manifest;
   private final RequestMetrics metrics;
   private final GenerationHandler generation;
+  private final PassThroughHandler passThrough;
   private final HttpServer server;
   private final AtomicInteger inProgress = new AtomicInteger();
 
@@ -37,11 +50,17 @@
       NodeState state,
       ManifestInForce manifest,
       RoutingService routing,
+      LedgerService ledger,
+      ApplicationCalls applications,
       RequestMetrics metrics) {
     this.manifest = manifest;
     this.metrics = metrics;
-    this.generation =
-        new GenerationHandler(new Gate(state), manifest, new WorkspaceLimits(), routing, metrics);
+    Gate gate = new Gate(state);
+    WorkspaceLimits limits = new WorkspaceLimits();
+    this.generation = new GenerationHandler(gate, manifest, limits, routing, metrics);
+    this.passThrough =
+        new PassThroughHandler(
+            gate, manifest, limits, applications, new KeyedWork(ledger, applications));
     this.server = new HttpServer(address, this::routes);
   }
 
@@ -70,21 +89,35 @@
     routes.post("/v1/completions", ctx -> generate(ctx, false));
     routes.post("/v1/chat/completions", ctx -> generate(ctx, true));
     routes.get("/v1/models", this::listModels);
+    for (HandlerType method : PASSED_METHODS) {
+      routes.addHttpHandler(method, "/*", this::pass);
+    }
     routes.exception(MustardlatchException.class, this::answerError);
     routes.exception(IOException.class, (e, ctx) -> {});
     routes.exception(Exception.class, this::answerFault);
   }
 
   private void generate(Context ctx, boolean chat) throws IOException, InterruptedException {
-    RequestId id = new RequestId(String.valueOf(ctx.res().getHeader(REQUEST_ID)));
+    count(() -> generation.handle(ctx, new RequestId(requestId(ctx)), chat));
+  }
+
+  private void pass(Context ctx) throws IOException, InterruptedException {
+    count(() -> passThrough.handle(ctx, requestId(ctx)));
+  }
+
+  private void count(Work work) throws IOException, InterruptedException {
     inProgress.incrementAndGet();
     try {
-      generation.handle(ctx, id, chat);
+      work.run();
     } finally {
       inProgress.decrementAndGet();
     }
   }
 
+  private static String requestId(Context ctx) {
+    return String.valueOf(ctx.res().getHeader(REQUEST_ID));
+  }
+
   private void listModels(Context ctx) {
     Manifest inForce = manifest.orThrow();
     Authenticator.authenticate(inForce, ctx.header("Authorization"));
@@ -110,4 +143,8 @@
     EventLog.log(LogEvent.UNEXPECTED_ERROR, ctx.path(), fault);
     answerError(new MustardlatchException(ErrorCode.INTERNAL, "internal error; see the log"), ctx);
   }
+
+  private interface Work {
+    void run() throws IOException, InterruptedException;
+  }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/mustardlatch/daemon/upstream/ApplicationCalls.java
@@ -0,0 +1,148 @@
+package org.mustardlatch.daemon.upstream;
+
+import com.google.common.io.ByteStreams;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import okhttp3.ConnectionPool;
+import okhttp3.HttpUrl;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import okio.BufferedSink;
+import okio.ByteString;
+import org.jspecify.annotations.Nullable;
+import org.mustardlatch.core.model.UpstreamId;
+
+/** Calls application services; blocks the calling thread. */
+public final class ApplicationCalls {
+  private static final int MAX_ANSWER_BYTES = 16 << 20;
+  private static final Set<String> METHODS_WITH_BODY = Set.of("POST", "PUT", "PATCH", "DELETE");
+
+  private final UpstreamHosts hosts;
+
+  /** Creates a client for the given upstreams. */
+  public ApplicationCalls(UpstreamHosts hosts) {
+    this.hosts = hosts;
+  }
+
+  /**
+   * Sends a call that may be repeated.
+   *
+   * @param limit time for the whole call
+   */
+  public ApplicationResult send(UpstreamId upstream, ApplicationRequest request, Duration limit) {
+    Optional<UpstreamHost> host = hosts.find(upstream);
+    return host.isEmpty()
+        ? new ApplicationResult.NotSent("upstream " + upstream + " is not known")
+        : call(host.get(), host.get().client().newBuilder(), request, limit);
+  }
+
+  /**
+   * Sends a call at most once. It gets a connection of its own: a pooled connection that the
+   * service has just closed would leave the outcome unknown although nothing ran.
+   *
+   * @param limit time for the whole call
+   */
+  public ApplicationResult sendOnce(
+      UpstreamId upstream, ApplicationRequest request, Duration limit) {
+    Optional<UpstreamHost> host = hosts.find(upstream);
+    return host.isEmpty()
+        ? new ApplicationResult.NotSent("upstream " + upstream + " is not known")
+        : call(
+            host.get(),
+            host.get()
+                .client()
+                .newBuilder()
+                .connectionPool(new ConnectionPool(0, 1, TimeUnit.SECONDS)),
+            request,
+            limit);
+  }
+
+  private static ApplicationResult call(
+      UpstreamHost host, OkHttpClient.Builder client, ApplicationRequest request, Duration limit) {
+    SentListener listener = new SentListener();
+    OkHttpClient once = client.eventListener(listener).callTimeout(limit).build();
+    HttpUrl url = host.base().resolve(request.pathAndQuery());
+    if (url == null) {
+      return new ApplicationResult.NotSent("path is not valid: " + request.pathAndQuery());
+    }
+    Request.Builder builder = new Request.Builder().url(url);
+    request
+        .headers()
+        .forEach((name, values) -> values.forEach(value -> builder.addHeader(name, value)));
+    builder.method(request.method(), body(request));
+    try (Response response = once.newCall(builder.build()).execute()) {
+      return new ApplicationResult.Answered(
+          response.code(), headers(response), ByteString.of(readBody(response)));
+    } catch (IOException e) {
+      host.evictConnections();
+      return listener.sent()
+          ? new ApplicationResult.Unknown(e.toString())
+          : new ApplicationResult.NotSent(e.toString());
+    }
+  }
+
+  private static byte[] readBody(Response response) throws IOException {
+    byte[] bytes =
+        ByteStreams.limit(response.body().byteStream(), MAX_ANSWER_BYTES + 1L).readAllBytes();
+    if (bytes.length > MAX_ANSWER_BYTES) {
+      throw new IOException("answer is longer than " + MAX_ANSWER_BYTES + " bytes");
+    }
+    return bytes;
+  }
+
+  private static Map<String, List<String>> headers(Response response) {
+    Map<String, List<String>> headers = new TreeMap<>();
+    response
+        .headers()
+        .names()
+        .forEach(
+            name -> {
+              if (EndToEndHeaders.passesToCaller(name)) {
+                headers.put(name, response.headers(name));
+              }
+            });
+    return headers;
+  }
+
+  private static @Nullable RequestBody body(ApplicationRequest request) {
+    return METHODS_WITH_BODY.contains(request.method()) ? new OneShotBody(request.body()) : null;
+  }
+
+  /** A body that the HTTP client may send once only, whatever the answer's status asks for. */
+  private static final class OneShotBody extends RequestBody {
+    private final ByteString bytes;
+
+    OneShotBody(ByteString bytes) {
+      this.bytes = bytes;
+    }
+
+    @Override
+    public @Nullable MediaType contentType() {
+      return null;
+    }
+
+    @Override
+    public long contentLength() {
+      return bytes.size();
+    }
+
+    @Override
+    public boolean isOneShot() {
+      return true;
+    }
+
+    @Override
+    public void writeTo(BufferedSink sink) throws IOException {
+      sink.write(bytes);
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/mustardlatch/daemon/upstream/EndToEndHeaders.java
@@ -0,0 +1,38 @@
+package org.mustardlatch.daemon.upstream;
+
+import java.util.Locale;
+import java.util.Set;
+
+/** Decides which headers pass through the router. */
+public final class EndToEndHeaders {
+  private static final Set<String> HOP_BY_HOP =
+      Set.of(
+          "connection",
+          "keep-alive",
+          "proxy-authenticate",
+          "proxy-authorization",
+          "te",
+          "trailer",
+          "transfer-encoding",
+          "upgrade",
+          "content-length",
+          "host");
+
+  /** The API key is for the router, and the compression is up to the HTTP client. */
+  private static final Set<String> ROUTER_ONLY =
+      Set.of("authorization", "accept-encoding", "x-request-id", "expect");
+
+  private EndToEndHeaders() {}
+
+  /** Returns whether a header of a caller goes to the service. */
+  public static boolean passesToService(String name) {
+    String lower = name.toLowerCase(Locale.ROOT);
+    return !HOP_BY_HOP.contains(lower) && !ROUTER_ONLY.contains(lower);
+  }
+
+  /** Returns whether a header of a service goes to the caller. */
+  public static boolean passesToCaller(String name) {
+    String lower = name.toLowerCase(Locale.ROOT);
+    return !HOP_BY_HOP.contains(lower) && !lower.equals("x-request-id");
+  }
+}
--- a/daemon/src/main/java/org/mustardlatch/daemon/upstream/EngineJson.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/upstream/EngineJson.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.MissingNode;
 import java.io.IOException;
 
 /** Reads JSON from engines. */
@@ -11,6 +12,10 @@
 
   private EngineJson() {}
 
+  static JsonNode missing() {
+    return MissingNode.getInstance();
+  }
+
   /**
    * Reads a value.
    *
--- a/daemon/src/test/java/org/mustardlatch/daemon/Fleet.java
+++ b/daemon/src/test/java/org/mustardlatch/daemon/Fleet.java
@@ -29,7 +29,7 @@
       add(option);
     }
     store.start(0);
-    daemon = new Daemon(settings("entry-1", store.url(), 0), new DirectPolicy());
+    daemon = new Daemon(settings("entry-1", store.url(), 0));
     daemon.start();
     publish("");
   }
