--- a/replay/src/main/java/org/mustardlatch/replay/ReplayCommand.java
+++ b/replay/src/main/java/org/mustardlatch/replay/ReplayCommand.java
@@ -15,6 +15,8 @@
 import org.kohsuke.args4j.Option;
 import org.mustardlatch.core.error.ErrorCode;
 import org.mustardlatch.core.error.MustardlatchException;
+import org.mustardlatch.core.manifest.Manifest;
+import org.mustardlatch.core.manifest.ManifestParser;
 import org.mustardlatch.core.manifest.Objective;
 
 /**
@@ -23,6 +25,7 @@
  */
 public final class ReplayCommand {
   private static final int USAGE = 2;
+  private static final int NODES = 8;
 
   private final PrintStream out;
   private final PrintStream err;
@@ -33,7 +36,7 @@
   @Argument(index = 1, metaVar = "TRACE|KIND", usage = "trace file, or kind to generate")
   private String subject = "";
 
-  @Option(name = "--manifest", metaVar = "M", usage = "tinta or vevstua")
+  @Option(name = "--manifest", metaVar = "M", usage = "manifest file, or tinta or vevstua")
   private String manifest = "";
 
   @Option(name = "--policy", metaVar = "P", usage = "policy; for compare a list with commas")
@@ -48,6 +51,9 @@
   @Option(name = "--seed", metaVar = "S", usage = "seed of all random numbers")
   private long seed = 1;
 
+  @Option(name = "--scale", metaVar = "N", usage = "engines of a user's deployment, times today's")
+  private int scale = 1;
+
   @Option(name = "--seeds", metaVar = "N", usage = "number of seeds to compare")
   private int seeds = 5;
 
@@ -107,8 +113,7 @@
   private void replay() throws IOException {
     String text = Files.readString(Path.of(subject));
     List<TraceLine> trace = TraceParser.parse(subject, text).orThrow(ErrorCode.INVALID_ARGUMENT);
-    User u = User.named(manifest);
-    Deployment deployment = u.deployment(objective(u));
+    Deployment deployment = deployment();
     String name = policy.isEmpty() ? Policies.NAMES.getLast() : policy;
     ReplayReport report = ReplayDriver.run(deployment, Policies.named(name), trace, seed);
     out.print(ReportWriter.table(name, report));
@@ -117,6 +122,17 @@
     }
   }
 
+  private Deployment deployment() throws IOException {
+    for (User u : User.values()) {
+      if (u.wireName().equals(manifest)) {
+        return u.deployment(objective(u), scale);
+      }
+    }
+    String text = Files.readString(Path.of(manifest));
+    Manifest parsed = ManifestParser.parse(manifest, text).orThrow(ErrorCode.MANIFEST_INVALID);
+    return Deployment.spread(parsed, NODES);
+  }
+
   private void generate() throws IOException {
     List<TraceLine> trace =
         TraceGenerator.generate(User.named(user), TraceKind.named(subject), seed);
@@ -132,7 +148,15 @@
     List<TraceKind> chosen = new ArrayList<>();
     split(kinds).forEach(k -> chosen.add(TraceKind.named(k)));
     List<TraceKind> all = chosen.isEmpty() ? Arrays.asList(TraceKind.values()) : chosen;
-    out.print(new Comparison(u, objective(u), seeds, err::println).table(all, policies));
+    Comparison comparison = new Comparison(u, objective(u), seeds, err::println);
+    comparison.run(all, policies);
+    out.print(ComparisonTable.of(comparison.results()));
+    for (String p : policies) {
+      if (policies.contains(Bounds.BASELINE) && !Policies.BASELINES.contains(p)) {
+        out.printf("%n%s against %s:%n%n", p, Bounds.BASELINE);
+        out.print(new Bounds(comparison.results(), p).table());
+      }
+    }
   }
 
   private Objective objective(User u) {
