--- a/cli/src/main/java/org/mustardlatch/cli/Main.java
+++ b/cli/src/main/java/org/mustardlatch/cli/Main.java
@@ -1,15 +1,19 @@
 package org.mustardlatch.cli;
 
 import java.io.PrintStream;
+import java.util.Set;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.ParserProperties;
 import org.mustardlatch.core.error.MustardlatchException;
+import org.mustardlatch.replay.ReplayCommand;
 
 /** Entry point of the command-line tool. */
 public final class Main {
   private static final ParserProperties WIDE = ParserProperties.defaults().withUsageWidth(100);
 
+  private static final Set<String> REPLAY_COMMANDS = Set.of("replay", "generate", "compare");
+
   private Main() {}
 
   /** Runs one command and exits with its code, see {@link ExitCode}. */
@@ -26,6 +30,9 @@
    * @return the exit code, see {@link ExitCode}
    */
   static int run(String[] args, PrintStream out, PrintStream err) {
+    if (args.length > 0 && REPLAY_COMMANDS.contains(args[0])) {
+      return ReplayCommand.run(args, out, err);
+    }
     MainOptions options = new MainOptions();
     CmdLineParser parser = new CmdLineParser(options, WIDE);
     try {
--- a/cli/src/test/java/org/mustardlatch/cli/MainTest.java
+++ b/cli/src/test/java/org/mustardlatch/cli/MainTest.java
@@ -125,6 +125,15 @@
         .isEqualTo("~ manifest objective: WASTE_AVERSE -> CREST_AVERSE" + System.lineSeparator());
   }
 
+  @Test
+  void generatedTraceCanBeReplayed(@TempDir Path dir) {
+    String trace = dir.resolve("t.jsonl").toString();
+    assertThat(run("generate", "steady", "--user", "vevstua", "--out", trace)).isEqualTo(0);
+    int code = run("replay", trace, "--manifest", "vevstua", "--policy", "two-choice");
+    assertThat(code).isEqualTo(0);
+    assertThat(out()).contains("goodput");
+  }
+
   private static String url(MockWebServer server) {
     return "http://127.0.0.1:" + server.getPort();
   }
