--- a/core/src/main/java/org/mustardlatch/core/routing/EntrySide.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/EntrySide.java
@@ -39,6 +39,8 @@
   private static final long FIRST_RENEW_NANOS = 1_000_000_000;
   private static final long RENEW_NANOS = 9_000_000_000L;
   private static final int STALL_FACTOR = 10;
+  // Time to read what arrived during a pause, above all leaving notices, before new work starts.
+  private static final long SETTLE_NANOS = 200_000_000;
   private static final int MAX_ATTEMPTS = 8;
   private static final int MAX_LOCAL_CELLS = 2;
   private static final int ANSWER_BYTES_PER_TOKEN = 5;
@@ -61,6 +63,9 @@
   private Topology topology;
   private boolean draining;
 
+  /** Time before which no attempt starts, after a pause. */
+  private long settledNanos = Long.MIN_VALUE;
+
   EntrySide(
       CellAdmission.Environment env,
       EvidenceSide evidenceSide,
@@ -166,6 +171,11 @@
   /** Starts an attempt with a prefill, after the permission that a suspect needs. */
   private void begin(EntryRequest q) {
     long now = fx.now();
+    if (now < settledNanos) {
+      fx.explain(q.request.id(), "held_back", "this node reads what it missed in a pause");
+      fx.timer(TIMER, q.request.id().value(), settledNanos);
+      return;
+    }
     if (now >= q.request.finalDeadlineNanos()) {
       refuse(q, ErrorCode.DEADLINE_EXCEEDED, "the final deadline passed", Duration.ZERO);
       return;
@@ -371,6 +381,10 @@
       refuse(q, ErrorCode.DEADLINE_EXCEEDED, detail, LATER);
       return;
     }
+    if (fx.now() >= handle.expiresNanos()) {
+      failed(q, a, a.prefill, Failure.KV_EXPIRED);
+      return;
+    }
     driver.startDecode(q, a, handle);
     driver.renew(q, a, Stage.TRANSFER);
     arm(q);
@@ -539,6 +553,10 @@
       }
       return;
     }
+    if (q.current == null) {
+      begin(q);
+      return;
+    }
     for (Attempt a : q.live()) {
       if (q.find(a.id) == a) {
         check(q, a);
@@ -645,6 +663,10 @@
   }
 
   private void arm(EntryRequest q) {
+    if (q.live().isEmpty()) {
+      // It waits for a permission or for the end of a pause, which set their own timer.
+      return;
+    }
     long at = q.request.finalDeadlineNanos();
     for (Attempt a : q.live()) {
       at = Math.min(at, times.nextCheck(q, a, fx.now()));
@@ -656,6 +678,7 @@
 
   /** Cancels all attempts, which other nodes may have reclaimed, and starts afresh. */
   void fence() {
+    settledNanos = fx.now() + SETTLE_NANOS;
     for (EntryRequest q : new ArrayList<>(requests.values())) {
       for (Attempt a : q.live()) {
         driver.cancel(a, Outcome.CANCELLED, false);
@@ -672,6 +695,19 @@
     }
   }
 
+  /** Replaces the asks that were made before a pause, so that old grants are not used. */
+  void askAfresh() {
+    settledNanos = fx.now() + SETTLE_NANOS;
+    for (EntryRequest q : new ArrayList<>(requests.values())) {
+      Attempt a = q.current;
+      if (a != null && !a.granted() && a.inherited == null) {
+        driver.cancel(a, Outcome.CANCELLED, false);
+        q.current = null;
+        begin(q);
+      }
+    }
+  }
+
   private void refuse(EntryRequest q, ErrorCode code, String detail, Duration retryAfter) {
     fx.explain(q.request.id(), "refused_" + code.wireName(), detail);
     fx.emit(new RoutingCommand.Refuse(q.request.id(), code, detail, retryAfter));
--- a/core/src/main/java/org/mustardlatch/core/routing/EvidenceSide.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/EvidenceSide.java
@@ -1,8 +1,7 @@
 package org.mustardlatch.core.routing;
 
-import java.util.HashMap;
+import java.util.ArrayDeque;
 import java.util.List;
-import java.util.Map;
 import org.mustardlatch.core.model.Fingerprint;
 import org.mustardlatch.core.model.HostId;
 import org.mustardlatch.core.model.UpstreamId;
@@ -21,12 +20,15 @@
   // this to come back, so two reports within it are about the same crash.
   private static final long SAME_CRASH_NANOS = 2_500_000_000L;
 
-  private record LastCrash(String crashId, long atNanos) {}
+  // Bounds what a joining node is sent; crashes are few in the 10 min that evidence lasts.
+  private static final int MAX_RECENT = 200;
+
+  private record Recent(CrashReport report, long atNanos) {}
 
   private final Effects fx;
   private final CrashEvidence evidence;
   private final SuspectRuns runs = new SuspectRuns();
-  private final Map<UpstreamId, LastCrash> lastCrashes = new HashMap<>();
+  private final ArrayDeque<Recent> recent = new ArrayDeque<>();
   private Topology topology;
   private long crashes;
   private long incarnation;
@@ -41,7 +43,6 @@
   void topologyChanged(Topology next, long nextIncarnation) {
     topology = next;
     incarnation = nextIncarnation;
-    lastCrashes.keySet().removeIf(u -> next.cellOf(u) == null);
   }
 
   /** Records a crash that this node recognised and tells every node. */
@@ -89,6 +90,7 @@
 
   void tick() {
     runs.expire(fx.now());
+    recent.removeIf(r -> fx.now() - r.atNanos() >= CrashEvidence.LIFETIME_NANOS);
   }
 
   void broadcast(EvidenceMessage message) {
@@ -99,14 +101,37 @@
     }
   }
 
+  /** Tells a node that joined about the crashes that it missed. */
+  void introduce(HostId host) {
+    recent.forEach(r -> fx.send(host, r.report()));
+  }
+
   private void record(CrashReport report) {
     long now = fx.now();
-    LastCrash last = lastCrashes.get(report.upstream());
-    if (last == null || now - last.atNanos() >= SAME_CRASH_NANOS) {
-      last = new LastCrash(report.crashId(), now);
-      lastCrashes.put(report.upstream(), last);
+    if (recent.stream().anyMatch(r -> r.report().crashId().equals(report.crashId()))) {
+      return;
+    }
+    String crashId = report.crashId();
+    for (Recent r : recent) {
+      boolean sameEngine = r.report().upstream().equals(report.upstream());
+      if (sameEngine && now - r.atNanos() < SAME_CRASH_NANOS && !sameReporter(r, report)) {
+        crashId = r.report().crashId();
+      }
     }
-    evidence.crashed(last.crashId(), report.running(), now);
+    if (recent.size() == MAX_RECENT) {
+      recent.removeFirst();
+    }
+    recent.addLast(new Recent(report, now));
+    evidence.crashed(crashId, report.running(), now);
     report.running().forEach(runs::ended);
   }
+
+  private static boolean sameReporter(Recent known, CrashReport report) {
+    return reporter(known.report().crashId()).equals(reporter(report.crashId()));
+  }
+
+  private static String reporter(String crashId) {
+    int slash = crashId.indexOf('/');
+    return slash < 0 ? crashId : crashId.substring(0, slash);
+  }
 }
--- a/core/src/main/java/org/mustardlatch/core/routing/HeldSweep.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/HeldSweep.java
@@ -1,10 +1,9 @@
 package org.mustardlatch.core.routing;
 
 import java.util.HashMap;
-import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import org.mustardlatch.core.model.HostId;
 import org.mustardlatch.core.model.UpstreamId;
 
@@ -16,11 +15,17 @@
   // A node that joined may hold attempts before membership has told this one about it.
   private static final long UNKNOWN_OWNER_NANOS = 10_000_000_000L;
 
+  // Far more nodes than are replaced before engines have dropped what they held for them.
+  private static final int MAX_GONE = 1000;
+
   private record Owner(HostId host, long incarnation) {}
 
   private final Effects fx;
   private final Map<Owner, Long> unknownSinceNanos = new HashMap<>();
-  private final Set<HostId> gone = new HashSet<>();
+
+  /** Nodes that left the live set, with the last incarnation that was known of them. */
+  private final LinkedHashMap<HostId, Long> gone = new LinkedHashMap<>();
+
   private Topology topology;
 
   HeldSweep(Effects fx, Topology topology) {
@@ -31,10 +36,13 @@
   void topologyChanged(Topology next) {
     for (Member m : topology.members()) {
       if (next.member(m.host()) == null) {
-        gone.add(m.host());
+        gone.put(m.host(), m.incarnation());
       }
     }
-    gone.removeIf(h -> next.member(h) != null);
+    gone.keySet().removeIf(h -> next.member(h) != null);
+    while (gone.size() > MAX_GONE) {
+      gone.pollFirstEntry();
+    }
     topology = next;
   }
 
@@ -57,7 +65,7 @@
     if (m != null) {
       return h.incarnation() < m.incarnation();
     }
-    if (gone.contains(h.owner())) {
+    if (h.incarnation() <= gone.getOrDefault(h.owner(), Long.MIN_VALUE)) {
       return true;
     }
     Owner owner = new Owner(h.owner(), h.incarnation());
--- a/core/src/main/java/org/mustardlatch/core/routing/NodeRouter.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/NodeRouter.java
@@ -26,6 +26,8 @@
 public final class NodeRouter implements RoutingPolicy {
   private static final String TICK = "tick";
   private static final String CELL = "cell";
+  // More than one, as an introducer may be joining or dying itself.
+  private static final int INTRODUCERS = 3;
   private static final long TICK_NANOS = 100_000_000;
 
   private final Effects fx;
@@ -94,8 +96,10 @@
       ticking = true;
       fx.timer(TICK, fx.self().value(), nowNanos + TICK_NANOS);
     }
-    if (pauses.paused(nowNanos)) {
-      fence();
+    switch (pauses.since(nowNanos)) {
+      case RUNNING -> {}
+      case SHORT_PAUSE -> entry.askAfresh();
+      case LONG_PAUSE -> fence();
     }
     dispatch(event);
     deliverToSelf();
@@ -142,7 +146,7 @@
       case AdmissionMessage.CellSummary m -> entry.summary(m);
       case AdmissionMessage m -> admitting.handle(from, m);
       case RunPermission m -> entry.permission(m);
-      case LeavingNotice m -> leaving.add(m.upstream(), fx.now());
+      case LeavingNotice m -> leaving.heard(m.upstream(), fx.now());
       case EvidenceMessage m -> evidenceSide.handle(from, m);
       default -> {
         // Other messages belong to other parts of the node.
@@ -158,19 +162,38 @@
   }
 
   private void upstreamLeaving(UpstreamId upstream) {
-    if (leaving.add(upstream, fx.now())) {
-      evidenceSide.broadcast(new LeavingNotice(upstream));
+    leaving.seen(upstream, fx.now());
+    spreadLeaving();
+  }
+
+  private void spreadLeaving() {
+    for (UpstreamId u : leaving.dueNotices(fx.now())) {
+      evidenceSide.broadcast(new LeavingNotice(u));
     }
   }
 
   private void membersChanged(List<Member> next) {
-    members = next;
     for (Member m : next) {
       if (m.host().equals(fx.self())) {
         incarnation = Math.max(incarnation, m.incarnation());
       }
     }
+    Topology before = topology;
+    members = next;
     topologyChanged();
+    for (Member m : next) {
+      if (before.member(m.host()) == null && introduces(m)) {
+        leaving.all(fx.now()).forEach(u -> fx.send(m.host(), new LeavingNotice(u)));
+        evidenceSide.introduce(m.host());
+      }
+    }
+  }
+
+  /** Returns whether this node is one of the few that tell a joining node what it missed. */
+  private boolean introduces(Member joining) {
+    List<HostId> order = topology.ownersOf(joining.host().value());
+    return !joining.host().equals(fx.self())
+        && order.subList(0, Math.min(INTRODUCERS + 1, order.size())).contains(fx.self());
   }
 
   private void topologyChanged() {
@@ -192,6 +215,7 @@
 
   private void tick() {
     fx.timer(TICK, fx.self().value(), fx.now() + TICK_NANOS);
+    spreadLeaving();
     leaving.expire(topology, fx.now());
     admitting.tickAll();
     evidenceSide.tick();
--- a/core/src/main/java/org/mustardlatch/core/routing/PauseGuard.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/PauseGuard.java
@@ -1,17 +1,34 @@
 package org.mustardlatch.core.routing;
 
-/** Finds out that this node was paused so long that others may have declared it dead. */
+/** Finds out that this node was paused, from the time between the events that it handles. */
 final class PauseGuard {
+  /** What happened since the event before. */
+  enum Finding {
+    /** The node ran. */
+    RUNNING,
+    /** Messages that wait to be handled are old, but the node still counts as alive. */
+    SHORT_PAUSE,
+    /** Others may have declared the node dead. */
+    LONG_PAUSE
+  }
+
+  // The node's own timer fires every 100 ms. Grants older than this may name upstreams that have
+  // become unusable, which news behind them in the input tells.
+  private static final long SHORT_NANOS = 2_000_000_000;
+
   // Membership declares a node dead 8 s after its last sign of life at the earliest (3 s of missed
   // heartbeats, 5 s to refute). The guard acts before that.
-  static final long MAX_PAUSE_NANOS = 6_000_000_000L;
+  private static final long LONG_NANOS = 6_000_000_000L;
 
   private long lastNanos = Long.MIN_VALUE;
 
-  /** Returns whether the time since the last call was a pause. */
-  boolean paused(long now) {
-    boolean paused = lastNanos != Long.MIN_VALUE && now - lastNanos >= MAX_PAUSE_NANOS;
+  /** Returns what happened since the last call. */
+  Finding since(long now) {
+    long gap = lastNanos == Long.MIN_VALUE ? 0 : now - lastNanos;
     lastNanos = now;
-    return paused;
+    if (gap >= LONG_NANOS) {
+      return Finding.LONG_PAUSE;
+    }
+    return gap >= SHORT_NANOS ? Finding.SHORT_PAUSE : Finding.RUNNING;
   }
 }
--- a/core/src/test/java/org/mustardlatch/core/routing/NodeRouterTest.java
+++ b/core/src/test/java/org/mustardlatch/core/routing/NodeRouterTest.java
@@ -171,6 +171,9 @@
     now += 7 * SECOND;
     handle(new RoutingEvent.RequestArrived(Fixtures.request("r2", 2000, now)));
 
+    now += SECOND / 4;
+    handle(new RoutingEvent.TimerFired(new TimerKey("request", "r2")));
+
     assertThat(router.incarnation()).isEqualTo(2);
     int cancel = commands.indexOf(new RoutingCommand.CancelAttempt(p.attempt(), p.upstream()));
     int start = commands.indexOf(last(RoutingCommand.StartPrefill.class));
