--- a/core/src/main/java/org/mustardlatch/core/routing/EntrySide.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/EntrySide.java
@@ -1,10 +1,7 @@
 package org.mustardlatch.core.routing;
 
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import org.jspecify.annotations.Nullable;
 import org.mustardlatch.core.error.ErrorCode;
 import org.mustardlatch.core.manifest.Manifest;
@@ -24,6 +21,7 @@
 import org.mustardlatch.core.peer.EvidenceMessage.RunRequest;
 import org.mustardlatch.core.quarantine.CrashEvidence;
 import org.mustardlatch.core.quarantine.CrashEvidence.Standing;
+import org.mustardlatch.core.routing.RequestTable.Found;
 
 /** The requests of this node's callers, from arrival to the one final answer. */
 final class EntrySide {
@@ -59,7 +57,7 @@
   private final UnitBudget retries = new UnitBudget(10, 40);
   private final UnitBudget hedges = new UnitBudget(1, 5);
   private final CrossRegionBudget crossing = new CrossRegionBudget();
-  private final Map<RequestId, EntryRequest> requests = new HashMap<>();
+  private final RequestTable requests = new RequestTable();
   private Topology topology;
   private boolean draining;
 
@@ -90,28 +88,7 @@
   }
 
   boolean holds(String attempt) {
-    int dot = attempt.lastIndexOf('.');
-    if (dot <= 0) {
-      return false;
-    }
-    for (EntryRequest q : findByName(attempt.substring(0, dot))) {
-      for (Attempt a : q.live()) {
-        if (a.id.toString().equals(attempt)) {
-          return true;
-        }
-      }
-    }
-    return false;
-  }
-
-  private List<EntryRequest> findByName(String name) {
-    try {
-      EntryRequest q = requests.get(new RequestId(name));
-      return q == null ? List.of() : List.of(q);
-    } catch (IllegalArgumentException e) {
-      // An engine may report names that are none of ours.
-      return List.of();
-    }
+    return requests.holds(attempt);
   }
 
   void drain() {
@@ -126,7 +103,7 @@
     if (manifest != null) {
       crossing.configure(manifest.link(), next.membersIn(region));
     }
-    for (EntryRequest q : new ArrayList<>(requests.values())) {
+    for (EntryRequest q : requests.all()) {
       for (Attempt a : q.live()) {
         driver.ownerChanged(q, a);
       }
@@ -135,11 +112,10 @@
   }
 
   void arrived(GenerationRequest request) {
-    if (requests.containsKey(request.id())) {
+    EntryRequest q = requests.add(request, fx.now());
+    if (q == null) {
       return;
     }
-    EntryRequest q = new EntryRequest(request, fx.now());
-    requests.put(request.id(), q);
     Model model = topology.model(request.model());
     if (draining) {
       refuse(q, ErrorCode.DRAINING, "this node is draining; the request did not run", LATER);
@@ -255,10 +231,8 @@
   }
 
   void permission(RunPermission answer) {
-    for (EntryRequest q : findByName(answer.attempt())) {
-      if (!q.waitsForPermission) {
-        return;
-      }
+    EntryRequest q = requests.byName(answer.attempt());
+    if (q != null && q.waitsForPermission) {
       switch (answer.verdict()) {
         case RUN -> permitted(q);
         case QUARANTINED -> quarantined(q);
@@ -295,9 +269,7 @@
 
   void granted(HostId from, ReserveGranted grant) {
     chooser.learn(grant.summary(), fx.now());
-    EntryRequest q = requests.get(grant.attempt().request());
-    Attempt a = q == null ? null : q.find(grant.attempt());
-    if (q == null || a == null) {
+    if (!(requests.find(grant.attempt()) instanceof Found(EntryRequest q, Attempt a))) {
       driver.decline(from, grant);
       return;
     }
@@ -324,9 +296,8 @@
 
   void queued(HostId from, ReserveQueued answer) {
     chooser.learn(answer.summary(), fx.now());
-    EntryRequest q = requests.get(answer.attempt().request());
-    Attempt a = q == null ? null : q.find(answer.attempt());
-    if (q != null && a != null && !a.granted()) {
+    if (requests.find(answer.attempt()) instanceof Found(EntryRequest q, Attempt a)
+        && !a.granted()) {
       a.progressNanos = fx.now();
       if (a.state != Attempt.State.QUEUED) {
         a.enter(Attempt.State.QUEUED, fx.now());
@@ -338,9 +309,8 @@
 
   void refused(ReserveRefused answer) {
     chooser.learn(answer.summary(), fx.now());
-    EntryRequest q = requests.get(answer.attempt().request());
-    Attempt a = q == null ? null : q.find(answer.attempt());
-    if (q == null || a == null || a.granted()) {
+    if (!(requests.find(answer.attempt()) instanceof Found(EntryRequest q, Attempt a))
+        || a.granted()) {
       return;
     }
     Duration after = Duration.ofNanos(answer.retryAfterNanos());
@@ -365,9 +335,8 @@
   // ---- events of upstreams ----
 
   void prefillFinished(AttemptId id, KvHandle handle) {
-    EntryRequest q = requests.get(id.request());
-    Attempt a = q == null ? null : q.find(id);
-    if (q == null || a == null || a.state != Attempt.State.PREFILL) {
+    if (!(requests.find(id) instanceof Found(EntryRequest q, Attempt a))
+        || a.state != Attempt.State.PREFILL) {
       fx.emit(new RoutingCommand.ReleaseKv(handle));
       return;
     }
@@ -402,17 +371,15 @@
   }
 
   void prefillFailed(AttemptId id, Failure failure) {
-    EntryRequest q = requests.get(id.request());
-    Attempt a = q == null ? null : q.find(id);
-    if (q != null && a != null && a.state == Attempt.State.PREFILL) {
+    if (requests.find(id) instanceof Found(EntryRequest q, Attempt a)
+        && a.state == Attempt.State.PREFILL) {
       failed(q, a, a.prefill, failure);
     }
   }
 
   void decodeStarted(AttemptId id) {
-    EntryRequest q = requests.get(id.request());
-    Attempt a = q == null ? null : q.find(id);
-    if (q != null && a != null && a.state == Attempt.State.TRANSFER) {
+    if (requests.find(id) instanceof Found(EntryRequest q, Attempt a)
+        && a.state == Attempt.State.TRANSFER) {
       a.enter(Attempt.State.DECODE, fx.now());
       driver.renew(q, a, Stage.DECODE);
       arm(q);
@@ -420,9 +387,7 @@
   }
 
   void tokensArrived(AttemptId id, int count) {
-    EntryRequest q = requests.get(id.request());
-    Attempt a = q == null ? null : q.find(id);
-    if (q == null || a == null) {
+    if (!(requests.find(id) instanceof Found(EntryRequest q, Attempt a))) {
       return;
     }
     if (a.state == Attempt.State.TRANSFER) {
@@ -433,9 +398,7 @@
   }
 
   void decodeFinished(AttemptId id) {
-    EntryRequest q = requests.get(id.request());
-    Attempt a = q == null ? null : q.find(id);
-    if (q != null && a != null && a.granted()) {
+    if (requests.find(id) instanceof Found(EntryRequest q, Attempt a) && a.granted()) {
       complete(q, a);
     }
   }
@@ -452,9 +415,9 @@
   }
 
   void decodeFailed(AttemptId id, Failure failure) {
-    EntryRequest q = requests.get(id.request());
-    Attempt a = q == null ? null : q.find(id);
-    if (q != null && a != null && a.granted() && a.state != Attempt.State.PREFILL) {
+    if (requests.find(id) instanceof Found(EntryRequest q, Attempt a)
+        && a.granted()
+        && a.state != Attempt.State.PREFILL) {
       if (q.remainingTokens() == 0) {
         complete(q, a);
       } else {
@@ -534,7 +497,8 @@
   // ---- time ----
 
   void timer(String subject) {
-    for (EntryRequest q : findByName(subject)) {
+    EntryRequest q = requests.byName(subject);
+    if (q != null) {
       check(q);
     }
   }
@@ -679,7 +643,7 @@
   /** Cancels all attempts, which other nodes may have reclaimed, and starts afresh. */
   void fence() {
     settledNanos = fx.now() + SETTLE_NANOS;
-    for (EntryRequest q : new ArrayList<>(requests.values())) {
+    for (EntryRequest q : requests.all()) {
       for (Attempt a : q.live()) {
         driver.cancel(a, Outcome.CANCELLED, false);
       }
@@ -698,7 +662,7 @@
   /** Replaces the asks that were made before a pause, so that old grants are not used. */
   void askAfresh() {
     settledNanos = fx.now() + SETTLE_NANOS;
-    for (EntryRequest q : new ArrayList<>(requests.values())) {
+    for (EntryRequest q : requests.all()) {
       Attempt a = q.current;
       if (a != null && !a.granted() && a.inherited == null) {
         driver.cancel(a, Outcome.CANCELLED, false);
