--- a/replay/src/main/java/org/mustardlatch/replay/TraceGenerator.java
+++ b/replay/src/main/java/org/mustardlatch/replay/TraceGenerator.java
@@ -13,7 +13,7 @@
 
   private static final long LENGTH_MS = 60_000;
   private static final long FAULT_MS = START_MS + 15_000;
-  private static final int PREFIXES = 8;
+  private static final int PREFIXES = 100;
   private static final double CANCELLED = 0.01;
 
   private final User user;
--- a/replay/src/main/java/org/mustardlatch/replay/TraceKind.java
+++ b/replay/src/main/java/org/mustardlatch/replay/TraceKind.java
@@ -18,7 +18,7 @@
   LINK_SATURATED,
   /** 80% of capacity; a fifth of the prompts is six times as long as the others. */
   MIXED,
-  /** 90% of capacity without a cache; prompts share eight style notes. */
+  /** 90% of capacity without a cache; prompts share 100 style notes. */
   PREFIXES,
   /** Load at capacity. */
   CAPACITY,
