Add shared budgets and seeded fleet tests of membership, rollout and budgets

core.budget: an owner per region and budget grants leases from a token bucket, clients ask for what they spent within the last lease time; a stand-in that is asked because the owner does not answer grants half the rate.

--- /dev/null
+++ b/core/src/main/java/org/mustardlatch/core/budget/BudgetOwner.java
@@ -0,0 +1,63 @@
+package org.mustardlatch.core.budget;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.mustardlatch.core.model.HostId;
+import org.mustardlatch.core.peer.BudgetMessage.BudgetLease;
+import org.mustardlatch.core.peer.BudgetMessage.BudgetLeaseRequest;
+
+/**
+ * Grants leases of the budgets that this node owns, design section 4.11.
+ *
+ * <p>Error, with rate R and lease time L: within any time T the nodes of a region spend at most R(T
+ * + 2L), because a bucket saves up RL and a lease is spent up to L after it was granted. A change
+ * of owner adds at most RL. A stand-in that is asked while the owner lives grants half the rate, so
+ * that two nodes that both grant exceed the rate by at most a half. Not safe for use by several
+ * threads.
+ */
+public final class BudgetOwner {
+  private final HostId self;
+  private final BudgetOwners owners = new BudgetOwners();
+  private final Map<String, OwnedBudget> owned = new HashMap<>();
+  private Map<String, BudgetTerms> terms = Map.of();
+
+  /** Creates an owner that knows no budget. */
+  public BudgetOwner(HostId self) {
+    this.self = self;
+  }
+
+  /** Sets the terms of all budgets of the region; others are no longer granted. */
+  public void configure(Map<String, BudgetTerms> newTerms) {
+    terms = Map.copyOf(newTerms);
+    owned.keySet().retainAll(terms.keySet());
+    owned.forEach(
+        (name, budget) -> budget.terms(terms.getOrDefault(name, BudgetTerms.perSecond(0))));
+  }
+
+  /** Sets the live nodes of the region, this one included. */
+  public void membersChanged(List<HostId> regionHosts) {
+    owners.hosts(regionHosts);
+  }
+
+  /** Returns the lease that answers a request; of 0 units when none are available. */
+  public BudgetLease request(HostId from, BudgetLeaseRequest request, long nowNanos) {
+    String name = request.budget();
+    BudgetTerms t = terms.get(name);
+    if (t == null) {
+      return new BudgetLease(name, 0, 0);
+    }
+    OwnedBudget budget = owned.computeIfAbsent(name, n -> new OwnedBudget(t, nowNanos));
+    List<HostId> candidates = owners.of(name);
+    if (candidates.isEmpty() || !candidates.getFirst().equals(self)) {
+      budget.cautious(nowNanos);
+    }
+    double units = budget.grant(from, request.wanted(), nowNanos);
+    return new BudgetLease(name, units, t.leaseTime().toNanos());
+  }
+
+  /** Returns the names of the budgets that this node granted from. */
+  public List<String> granting() {
+    return owned.keySet().stream().sorted().toList();
+  }
+}
--- a/core/src/main/java/org/mustardlatch/core/rollout/Rollout.java
+++ b/core/src/main/java/org/mustardlatch/core/rollout/Rollout.java
@@ -37,10 +37,17 @@
 
   private static final String WATCH_KEY = "watch";
 
-  /** Longer than a round trip between regions with a 1 MB body on a slow link. */
-  private static final long FETCH_TIMEOUT = Duration.ofMillis(900).toNanos();
+  /**
+   * Time after which another holder is asked. Of the bound of 4 s this leaves eight attempts; at
+   * 900 ms and 10% loss a few nodes in a thousand were late.
+   */
+  private static final long FETCH_TIMEOUT = Duration.ofMillis(400).toNanos();
 
-  private record Fetch(long revision, HostId from, long atNanos) {}
+  private record Fetch(long revision, HostId from, long atNanos) {
+    boolean late(long now) {
+      return now - atNanos >= FETCH_TIMEOUT;
+    }
+  }
 
   private final HostId self;
   private final Readiness readiness = new Readiness();
@@ -150,7 +157,7 @@
   private void heard(HostId from, long theirs, long now, Consumer<RolloutCommand> out) {
     revisions.put(from, theirs);
     readiness.heard(theirs, now);
-    if (wanted(theirs) && (fetch == null || fetch.revision() < theirs)) {
+    if (wanted(theirs) && (fetch == null || fetch.revision() < theirs || fetch.late(now))) {
       fetchFrom(from, theirs, now, out);
     }
   }
@@ -172,7 +179,7 @@
     }
     if (!wanted(f.revision())) {
       fetch = null;
-    } else if (now - f.atNanos() >= FETCH_TIMEOUT) {
+    } else if (f.late(now)) {
       HostId next = nextHolder(f);
       if (next == null) {
         fetch = null;
--- a/core/src/main/java/org/mustardlatch/core/routing/Member.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/Member.java
@@ -10,6 +10,7 @@
  * @param host the node
  * @param region its region
  * @param zone its availability zone
- * @param incarnation grows with every start of the node and every refuted suspicion
+ * @param incarnation grows with every start of the node and every pause after which others may have
+ *     declared it dead; a refuted suspicion does not raise it
  */
 public record Member(HostId host, RegionId region, ZoneId zone, long incarnation) {}
--- /dev/null
+++ b/core/src/test/java/org/mustardlatch/core/fleet/FleetNode.java
@@ -0,0 +1,285 @@
+package org.mustardlatch.core.fleet;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.jspecify.annotations.Nullable;
+import org.mustardlatch.core.budget.BudgetClient;
+import org.mustardlatch.core.budget.BudgetCommand;
+import org.mustardlatch.core.budget.BudgetOwner;
+import org.mustardlatch.core.membership.Membership;
+import org.mustardlatch.core.membership.MembershipCommand;
+import org.mustardlatch.core.membership.MembershipEvent;
+import org.mustardlatch.core.membership.NodeIdentity;
+import org.mustardlatch.core.model.HostId;
+import org.mustardlatch.core.model.RegionId;
+import org.mustardlatch.core.model.ZoneId;
+import org.mustardlatch.core.peer.BudgetMessage.BudgetLease;
+import org.mustardlatch.core.peer.BudgetMessage.BudgetLeaseRequest;
+import org.mustardlatch.core.peer.MembershipMessage;
+import org.mustardlatch.core.peer.PeerMessage;
+import org.mustardlatch.core.peer.RolloutMessage;
+import org.mustardlatch.core.rollout.Rollout;
+import org.mustardlatch.core.rollout.RolloutCommand;
+import org.mustardlatch.core.rollout.RolloutEvent;
+import org.mustardlatch.core.time.TimerSubscription;
+
+/** One node of a {@link Fleet}. */
+final class FleetNode {
+  private final Fleet fleet;
+  private final NodeIdentity self;
+  private final Membership membership;
+  final Rollout rollout;
+  final BudgetOwner budgetOwner;
+  final BudgetClient budgetClient = new BudgetClient();
+  private final List<Runnable> atResume = new ArrayList<>();
+  private final List<TimerSubscription> timers = new ArrayList<>();
+  private final Map<Long, Boolean> spends = new HashMap<>();
+  private boolean running;
+  private boolean paused;
+  final Set<HostId> suspected = new HashSet<>();
+  final Set<HostId> everGone = new HashSet<>();
+  final List<Long> appliedRevisions = new ArrayList<>();
+  long fencedIncarnation;
+  long acceptedRevision;
+  double spent;
+
+  FleetNode(Fleet fleet, String name, String region, long incarnation, List<String> seeds) {
+    this.fleet = fleet;
+    this.self =
+        new NodeIdentity(
+            new HostId(name), new RegionId(region), new ZoneId(region + "-z"), name + ":1");
+    long now = fleet.time.nanos();
+    this.membership =
+        new Membership(self, incarnation, seeds, new Random(fleet.random.nextLong()), now);
+    this.rollout = new Rollout(self.host());
+    this.budgetOwner = new BudgetOwner(self.host());
+  }
+
+  void start() {
+    running = true;
+    membersChanged();
+    long phase = fleet.random.nextLong(Membership.TICK_PERIOD.toNanos());
+    fleet.time.schedule(
+        Duration.ofNanos(phase),
+        () -> {
+          timers.add(fleet.time.every(Membership.TICK_PERIOD, () -> whenAwake(this::tick)));
+          timers.add(
+              fleet.time.every(
+                  BudgetClient.TICK_PERIOD,
+                  () -> {
+                    if (running && !paused && budgetClient.hasWaiting()) {
+                      budgetClient.tick(fleet.time.nanos(), this::execute);
+                    }
+                  }));
+        });
+  }
+
+  private void tick() {
+    toMembership(new MembershipEvent.Tick());
+    toRollout(new RolloutEvent.Tick());
+  }
+
+  /** Ends the process without a word. */
+  void kill() {
+    running = false;
+    timers.forEach(TimerSubscription::cancel);
+  }
+
+  void leave() {
+    toMembership(new MembershipEvent.LeaveRequested());
+    fleet.time.schedule(Duration.ofSeconds(1), this::kill);
+  }
+
+  /** Stops the process for a while; what arrives meanwhile is handled when it goes on. */
+  void pause(Duration duration) {
+    paused = true;
+    fleet.time.schedule(
+        duration,
+        () -> {
+          paused = false;
+          List<Runnable> due = new ArrayList<>(atResume);
+          atResume.clear();
+          due.forEach(Runnable::run);
+        });
+  }
+
+  private void whenAwake(Runnable task) {
+    if (!running) {
+      return;
+    }
+    if (paused) {
+      if (atResume.size() < 64) {
+        atResume.add(task);
+      }
+      return;
+    }
+    task.run();
+  }
+
+  void receive(HostId from, long incarnation, PeerMessage message) {
+    whenAwake(() -> dispatch(from, incarnation, message));
+  }
+
+  private void dispatch(HostId from, long incarnation, PeerMessage message) {
+    switch (message) {
+      case MembershipMessage m -> {
+        toMembership(new MembershipEvent.Received(from, incarnation, m));
+        if (m instanceof MembershipMessage.Heartbeat h) {
+          toRollout(new RolloutEvent.RevisionHeard(from, h.configRevision()));
+        } else if (m instanceof MembershipMessage.HeartbeatAck h) {
+          toRollout(new RolloutEvent.RevisionHeard(from, h.configRevision()));
+        }
+      }
+      case RolloutMessage m -> {
+        toMembership(new MembershipEvent.Heard(from, incarnation));
+        toRollout(new RolloutEvent.Received(from, m));
+      }
+      case BudgetLeaseRequest m ->
+          sendBudget(from, budgetOwner.request(from, m, fleet.time.nanos()));
+      case BudgetLease m -> budgetClient.lease(m, fleet.time.nanos(), this::execute);
+      default -> throw new AssertionError(message);
+    }
+  }
+
+  private void sendBudget(HostId to, PeerMessage message) {
+    if (to.equals(host())) {
+      dispatch(to, incarnation(), message);
+    } else {
+      fleet.send(this, to, message);
+    }
+  }
+
+  private void toMembership(MembershipEvent event) {
+    membership.handle(event, fleet.time.nanos(), this::execute);
+  }
+
+  private void execute(MembershipCommand command) {
+    switch (command) {
+      case MembershipCommand.Send c -> fleet.send(this, c.to(), c.message());
+      case MembershipCommand.SendToAddress c -> fleet.sendToAddress(this, c.address(), c.message());
+      case MembershipCommand.MembersChanged c -> membersChanged();
+      case MembershipCommand.Forget c -> everGone.add(c.host());
+      case MembershipCommand.Suspected c -> suspected.add(c.host());
+      case MembershipCommand.Fenced c -> fencedIncarnation = c.incarnation();
+    }
+  }
+
+  private void membersChanged() {
+    toRollout(new RolloutEvent.MembersChanged(membership.members(), membership.neighbours()));
+    List<HostId> region =
+        membership.members().members().stream()
+            .filter(m -> m.region().equals(self.region()))
+            .map(m -> m.host())
+            .toList();
+    budgetOwner.membersChanged(region);
+    budgetClient.membersChanged(region);
+  }
+
+  void toRollout(RolloutEvent event) {
+    rollout.handle(event, fleet.time.nanos(), this::execute);
+  }
+
+  private void execute(RolloutCommand command) {
+    switch (command) {
+      case RolloutCommand.Send c -> fleet.send(this, c.to(), c.message());
+      case RolloutCommand.Apply c -> {
+        appliedRevisions.add(c.revision());
+        fleet.time.schedule(
+            Duration.ZERO,
+            () -> {
+              toRollout(new RolloutEvent.Applied(c.revision()));
+              toMembership(new MembershipEvent.RevisionInForce(c.revision()));
+            });
+      }
+      case RolloutCommand.Accepted c -> acceptedRevision = c.revision();
+      case RolloutCommand.WatchChanged c -> {
+        if (!fleet.storeDown) {
+          readStore();
+        }
+      }
+      case RolloutCommand.Ready c -> {}
+    }
+  }
+
+  private void execute(BudgetCommand command) {
+    switch (command) {
+      case BudgetCommand.Send c -> sendBudget(c.to(), c.message());
+      case BudgetCommand.Granted c -> spends.put(c.ticket(), true);
+      case BudgetCommand.Refused c -> spends.put(c.ticket(), false);
+    }
+  }
+
+  void readStore() {
+    toRollout(new RolloutEvent.Stored(fleet.storedRevision, fleet.storedText));
+  }
+
+  void spend(long ticket, String budget, double units) {
+    if (running && !paused) {
+      budgetClient.spend(ticket, budget, units, fleet.time.nanos(), this::execute);
+    }
+  }
+
+  /** Returns how many spends were granted since the last call. */
+  int takeGranted() {
+    int granted = (int) spends.values().stream().filter(g -> g).count();
+    spends.clear();
+    return granted;
+  }
+
+  boolean sees(Collection<FleetNode> expected) {
+    Set<HostId> seen =
+        membership.members().members().stream().map(m -> m.host()).collect(Collectors.toSet());
+    return seen.size() == expected.size()
+        && expected.stream().allMatch(n -> seen.contains(n.host()));
+  }
+
+  boolean seesUnreachable(String region) {
+    return membership.members().unreachableRegions().contains(new RegionId(region));
+  }
+
+  long incarnationOf(HostId other) {
+    return membership.members().members().stream()
+        .filter(m -> m.host().equals(other))
+        .mapToLong(m -> m.incarnation())
+        .findFirst()
+        .orElse(0);
+  }
+
+  HostId host() {
+    return self.host();
+  }
+
+  String region() {
+    return self.region().value();
+  }
+
+  long incarnation() {
+    return membership.incarnation();
+  }
+
+  boolean running() {
+    return running;
+  }
+
+  @Nullable String stateOf(HostId other) {
+    MembershipMessage.State s = membership.state(other);
+    return s == null ? null : s.name();
+  }
+
+  @Override
+  public String toString() {
+    return host()
+        + " sees "
+        + membership.members().members().size()
+        + ", revision "
+        + rollout.revision();
+  }
+}
--- a/daemon/src/main/java/org/mustardlatch/daemon/peer/PeerService.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/peer/PeerService.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
+import org.mustardlatch.core.budget.BudgetTerms;
 import org.mustardlatch.core.membership.MemberList;
 import org.mustardlatch.core.model.HostId;
 import org.mustardlatch.core.model.RegionId;
@@ -107,6 +108,25 @@
     node.published(revision, text);
   }
 
+  /**
+   * Sets the terms of the shared budgets of this region, by name, for example {@code
+   * workspace/NAME}. Every node of the region must be given the same terms.
+   */
+  public void configureBudgets(Map<String, BudgetTerms> terms) {
+    node.configureBudgets(terms);
+  }
+
+  /**
+   * Spends units of a shared budget.
+   *
+   * @param units units to take, greater than 0
+   * @param result called once, within about 350 ms, with whether the units were granted; must not
+   *     block
+   */
+  public void spend(String budget, double units, Consumer<Boolean> result) {
+    node.spend(budget, units, result);
+  }
+
   /** Returns the current incarnation of this node. */
   public long incarnation() {
     return node.incarnation();
--- /dev/null
+++ b/wire/src/main/java/org/mustardlatch/wire/NodeBudgets.java
@@ -0,0 +1,88 @@
+package org.mustardlatch.wire;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import org.mustardlatch.core.budget.BudgetClient;
+import org.mustardlatch.core.budget.BudgetCommand;
+import org.mustardlatch.core.budget.BudgetOwner;
+import org.mustardlatch.core.budget.BudgetTerms;
+import org.mustardlatch.core.membership.MemberList;
+import org.mustardlatch.core.model.HostId;
+import org.mustardlatch.core.model.RegionId;
+import org.mustardlatch.core.peer.BudgetMessage;
+import org.mustardlatch.core.peer.BudgetMessage.BudgetLease;
+import org.mustardlatch.core.peer.BudgetMessage.BudgetLeaseRequest;
+import org.mustardlatch.core.routing.Member;
+
+/** The shared budgets of one node, as owner and as client. */
+final class NodeBudgets {
+  private final RegionId region;
+  private final BudgetOwner owner;
+  private final BudgetClient client = new BudgetClient();
+  private final BiConsumer<HostId, BudgetMessage> send;
+  private final Map<Long, Consumer<Boolean>> waiting = new HashMap<>();
+  private long tickets;
+
+  NodeBudgets(HostId self, RegionId region, BiConsumer<HostId, BudgetMessage> send) {
+    this.region = region;
+    this.owner = new BudgetOwner(self);
+    this.send = send;
+  }
+
+  void configure(Map<String, BudgetTerms> terms) {
+    owner.configure(terms);
+  }
+
+  void membersChanged(MemberList list) {
+    List<HostId> hosts =
+        list.members().stream().filter(m -> m.region().equals(region)).map(Member::host).toList();
+    owner.membersChanged(hosts);
+    client.membersChanged(hosts);
+  }
+
+  void spend(String budget, double units, long now, Consumer<Boolean> result) {
+    long ticket = ++tickets;
+    waiting.put(ticket, result);
+    client.spend(ticket, budget, units, now, this::execute);
+  }
+
+  void received(HostId from, BudgetMessage message, long now) {
+    switch (message) {
+      case BudgetLeaseRequest m -> send.accept(from, owner.request(from, m, now));
+      case BudgetLease m -> client.lease(m, now, this::execute);
+    }
+  }
+
+  /** Does nothing unless spends wait. */
+  void tick(long now) {
+    if (client.hasWaiting()) {
+      client.tick(now, this::execute);
+    }
+  }
+
+  Map<String, Object> dump(long now) {
+    Map<String, Object> all = new LinkedHashMap<>();
+    all.put("granting", owner.granting());
+    all.put("held", client.held(now));
+    return all;
+  }
+
+  private void execute(BudgetCommand command) {
+    switch (command) {
+      case BudgetCommand.Send c -> send.accept(c.to(), c.message());
+      case BudgetCommand.Granted c -> finish(c.ticket(), true);
+      case BudgetCommand.Refused c -> finish(c.ticket(), false);
+    }
+  }
+
+  private void finish(long ticket, boolean granted) {
+    Consumer<Boolean> result = waiting.remove(ticket);
+    if (result != null) {
+      result.accept(granted);
+    }
+  }
+}
--- a/wire/src/main/java/org/mustardlatch/wire/PeerNode.java
+++ b/wire/src/main/java/org/mustardlatch/wire/PeerNode.java
@@ -12,8 +12,11 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
+import org.mustardlatch.core.budget.BudgetClient;
+import org.mustardlatch.core.budget.BudgetTerms;
 import org.mustardlatch.core.membership.MemberList;
 import org.mustardlatch.core.membership.Membership;
 import org.mustardlatch.core.membership.MembershipCommand;
@@ -32,8 +35,9 @@
 import org.mustardlatch.core.time.TimerSubscription;
 
 /**
- * One node among its peers: transport, membership and spread of the manifest. Its state is touched
- * by one task at a time; tasks come from network threads, the timer service and callers.
+ * One node among its peers: transport, membership, spread of the manifest and shared budgets. Its
+ * state is touched by one task at a time; tasks come from network threads, the timer service and
+ * callers.
  */
 public final class PeerNode {
   private static final long DUMP_TIMEOUT_MILLIS = 2_000;
@@ -46,8 +50,10 @@
   private final Subject<Runnable> tasks = PublishSubject.<Runnable>create().toSerialized();
   private final EvidenceFlood flood = new EvidenceFlood();
   private final Rollout rollout;
+  private final NodeBudgets budgets;
   private @Nullable Membership membership;
   private @Nullable TimerSubscription ticks;
+  private @Nullable TimerSubscription budgetTicks;
   private @Nullable Disposable running;
   private volatile long incarnation;
   private volatile MemberList members = new MemberList(List.of(), Set.of());
@@ -66,6 +72,7 @@
     this.listener = listener;
     this.incarnation = options.incarnation();
     this.rollout = new Rollout(options.host());
+    this.budgets = new NodeBudgets(options.host(), options.region(), this::sendBudget);
     this.transport =
         new PeerTransport(
             new PeerTransportOptions(
@@ -88,6 +95,9 @@
             : bound.getAddress().getHostAddress() + ":" + bound.getPort();
     tasks.onNext(() -> join(address));
     ticks = timers.every(Membership.TICK_PERIOD, () -> tasks.onNext(this::tick));
+    budgetTicks =
+        timers.every(
+            BudgetClient.TICK_PERIOD, () -> tasks.onNext(() -> budgets.tick(timers.nanos())));
     return bound;
   }
 
@@ -101,6 +111,9 @@
     if (ticks != null) {
       ticks.cancel();
     }
+    if (budgetTicks != null) {
+      budgetTicks.cancel();
+    }
     transport.stop();
     if (running != null) {
       running.dispose();
@@ -132,6 +145,25 @@
     tasks.onNext(() -> toRollout(new RolloutEvent.Published(publishedRevision, text)));
   }
 
+  /**
+   * Sets the terms of the shared budgets of this region, by name. Every node of the region must be
+   * given the same terms.
+   */
+  public void configureBudgets(Map<String, BudgetTerms> terms) {
+    tasks.onNext(() -> budgets.configure(terms));
+  }
+
+  /**
+   * Spends units of a shared budget.
+   *
+   * @param units units to take, greater than 0
+   * @param result called once, within {@link BudgetClient#MAX_WAIT} or a tick later, with whether
+   *     the units were granted; must not block
+   */
+  public void spend(String budget, double units, Consumer<Boolean> result) {
+    tasks.onNext(() -> budgets.spend(budget, units, timers.nanos(), result));
+  }
+
   /** Returns the current incarnation. */
   public long incarnation() {
     return incarnation;
@@ -176,6 +208,7 @@
     Membership m = membership;
     all.put("membership", m == null ? Map.of() : m.dump());
     all.put("rollout", rollout.dump());
+    all.put("budgets", budgets.dump(timers.nanos()));
     all.put("evidence_remembered", flood.size());
     all.put("transport", transport.dump());
     return all;
@@ -215,7 +248,7 @@
     toMembership(new MembershipEvent.Heard(from, senderIncarnation));
     switch (message) {
       case RolloutMessage m -> toRollout(new RolloutEvent.Received(from, m));
-      case BudgetMessage m -> listener.received(from, senderIncarnation, m);
+      case BudgetMessage m -> budgets.received(from, m, timers.nanos());
       case EvidenceMessage m -> evidence(from, senderIncarnation, m);
       default -> listener.received(from, senderIncarnation, message);
     }
@@ -263,13 +296,25 @@
 
   private void sendNow(HostId to, PeerMessage message) {
     if (to.equals(options.host())) {
-      listener.received(to, incarnation, message);
+      dispatchOwn(to, message);
       return;
     }
     Membership m = membership;
     transport.send(to, m == null ? null : m.address(to), message);
   }
 
+  private void dispatchOwn(HostId self, PeerMessage message) {
+    if (message instanceof BudgetMessage m) {
+      budgets.received(self, m, timers.nanos());
+    } else {
+      listener.received(self, incarnation, message);
+    }
+  }
+
+  private void sendBudget(HostId to, BudgetMessage message) {
+    sendNow(to, message);
+  }
+
   private void toMembership(MembershipEvent event) {
     Membership m = membership;
     if (m != null) {
@@ -293,6 +338,7 @@
 
   private void membersChanged(Membership m, MemberList list) {
     members = list;
+    budgets.membersChanged(list);
     toRollout(new RolloutEvent.MembersChanged(list, m.neighbours()));
     listener.membersChanged(list);
   }
