--- a/core/src/test/java/org/mustardlatch/core/ledger/LedgerWorld.java
+++ b/core/src/test/java/org/mustardlatch/core/ledger/LedgerWorld.java
@@ -231,6 +231,7 @@
       }
       if (call.reply instanceof KeyedReply.NotRun) {
         message("run of refused " + what).that(app.ran(call.attempt)).isFalse();
+        message("record of refused " + what).that(holdsKey(call)).isFalse();
       }
       if (call.reply instanceof KeyedReply.Ran) {
         message("run of answered " + what).that(app.ran(call.attempt)).isTrue();
@@ -241,6 +242,14 @@
     }
   }
 
+  /** Whether a start record of the attempt is left that its living starter could have cancelled. */
+  private boolean holdsKey(FakeCall call) {
+    String started = "\"state\":\"STARTED\",\"nonce\":\"" + call.attempt.nonce() + "\"";
+    return !call.nodeDied
+        && !lostAnswers.contains(call.attempt.nonce())
+        && store.object(SHARD).toString().contains(started);
+  }
+
   private Duration within(int millis) {
     return Duration.ofMillis(random.nextInt(millis));
   }
--- a/daemon/src/main/java/org/mustardlatch/daemon/ledger/KeyedCall.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/ledger/KeyedCall.java
@@ -2,7 +2,7 @@
 
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicReference;
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
 import org.mustardlatch.core.ledger.KeyedEvent;
 import org.mustardlatch.core.ledger.KeyedReply;
 import org.mustardlatch.core.ledger.RunOutcome;
@@ -19,7 +19,7 @@
   private final CompletableFuture<KeyedReply> reply = new CompletableFuture<>();
   private final AtomicReference<State> state = new AtomicReference<>(State.OPEN);
   private final long deadlineNanos;
-  private final Consumer<KeyedEvent> events;
+  private final BiConsumer<KeyedCall, KeyedEvent> events;
 
   private enum State {
     OPEN,
@@ -27,7 +27,7 @@
     CALLER_GONE
   }
 
-  KeyedCall(long deadlineNanos, Consumer<KeyedEvent> events) {
+  KeyedCall(long deadlineNanos, BiConsumer<KeyedCall, KeyedEvent> events) {
     this.deadlineNanos = deadlineNanos;
     this.events = events;
   }
@@ -62,7 +62,7 @@
    */
   public void callerGone() {
     if (state.compareAndSet(State.OPEN, State.CALLER_GONE)) {
-      events.accept(new KeyedEvent.CallerGone());
+      events.accept(this, new KeyedEvent.CallerGone());
     }
   }
 
@@ -77,7 +77,7 @@
     if (state.get() != State.CLAIMED) {
       throw new IllegalStateException("finish without a claimed dispatch");
     }
-    events.accept(new KeyedEvent.RunEnded(outcome));
+    events.accept(this, new KeyedEvent.RunEnded(outcome));
     return reply;
   }
 
--- /dev/null
+++ b/daemon/src/main/java/org/mustardlatch/daemon/ledger/LedgerPeers.java
@@ -0,0 +1,11 @@
+package org.mustardlatch.daemon.ledger;
+
+import org.mustardlatch.core.model.HostId;
+import org.mustardlatch.core.peer.LedgerMessage;
+
+/** Sends ledger messages to other nodes. */
+@FunctionalInterface
+public interface LedgerPeers {
+  /** Sends a message; must not block, may lose it, and must not call the service back at once. */
+  void send(HostId to, LedgerMessage message);
+}
--- a/daemon/src/main/java/org/mustardlatch/daemon/ledger/LedgerService.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/ledger/LedgerService.java
@@ -1,31 +1,32 @@
 package org.mustardlatch.daemon.ledger;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.time.Duration;
 import java.time.InstantSource;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.Supplier;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
 import org.mustardlatch.core.ledger.Attempt;
 import org.mustardlatch.core.ledger.KeyAge;
-import org.mustardlatch.core.ledger.KeyedCommand;
 import org.mustardlatch.core.ledger.KeyedEvent;
-import org.mustardlatch.core.ledger.KeyedPolicy;
 import org.mustardlatch.core.ledger.KeyedReply;
-import org.mustardlatch.core.ledger.KeyedRequest;
+import org.mustardlatch.core.ledger.KeyedTimer;
 import org.mustardlatch.core.ledger.LedgerKey;
-import org.mustardlatch.core.ledger.LedgerLimits;
+import org.mustardlatch.core.ledger.LedgerNode;
+import org.mustardlatch.core.ledger.LedgerOutput;
+import org.mustardlatch.core.ledger.Now;
 import org.mustardlatch.core.ledger.RunOutcome;
-import org.mustardlatch.core.ledger.ShardCommand;
 import org.mustardlatch.core.ledger.ShardEvent;
-import org.mustardlatch.core.ledger.StartPath;
 import org.mustardlatch.core.model.HostId;
 import org.mustardlatch.core.model.WorkspaceId;
+import org.mustardlatch.core.peer.LedgerMessage;
+import org.mustardlatch.core.time.TimerSubscription;
 import org.mustardlatch.daemon.node.EventLoop;
 import org.mustardlatch.daemon.node.Membership;
 import org.mustardlatch.daemon.store.ObjectStoreClient;
@@ -35,57 +36,53 @@
  * one thread of this service.
  */
 public final class LedgerService {
-  private static final Duration KEEP_UNUSED_SHARD = Duration.ofMinutes(1);
+  private static final Duration DROP_IDLE_SHARDS = Duration.ofMinutes(1);
   private static final Duration DRAIN_CHECK = Duration.ofMillis(20);
-  private static final int NONCE_BYTES = 16;
+  private static final int NONCE_HALF_BYTES = 8;
 
-  private final HostId self;
+  private final LedgerSettings settings;
   private final Membership membership;
-  private final ObjectStoreClient store;
-  private final Supplier<LedgerLimits> limits;
-  private final KeyedPolicy policy;
+  private final Optional<LedgerPeers> peers;
   private final InstantSource wallClock;
   private final RandomGenerator random;
+  private final String noncePrefix;
   private final EventLoop loop = new EventLoop("ledger");
-  private final Map<Integer, ShardRunner> runners = new HashMap<>();
-  private final Map<String, ActiveRequest> active = new HashMap<>();
-
-  /** A request that is not over yet. */
-  private record ActiveRequest(KeyedRequest request, KeyedCall call) {}
+  private final StoreCalls storeCalls;
+  private final LedgerNode node;
+  private final Map<String, KeyedCall> calls = new HashMap<>();
+  private final Map<Integer, TimerSubscription> wakes = new HashMap<>();
 
   /**
    * Creates the service.
    *
-   * @param self this node
    * @param membership the live nodes and the incarnation of this one
    * @param store client of the object service
-   * @param limits limits from the manifest in force; read whenever a shard is opened
-   * @param policy waiting times
+   * @param peers sends to the owners of shards; empty to write every shard from this node
    * @param wallClock for the times in records only
    * @param random names attempts; must not repeat between processes, so use a secure one
    */
   public LedgerService(
-      HostId self,
+      LedgerSettings settings,
       Membership membership,
       ObjectStoreClient store,
-      Supplier<LedgerLimits> limits,
-      KeyedPolicy policy,
+      Optional<LedgerPeers> peers,
       InstantSource wallClock,
       RandomGenerator random) {
-    this.self = self;
+    this.settings = settings;
     this.membership = membership;
-    this.store = store;
-    this.limits = limits;
-    this.policy = policy;
+    this.peers = peers;
     this.wallClock = wallClock;
     this.random = random;
+    noncePrefix = randomHex();
+    storeCalls = new StoreCalls(store, loop);
+    node =
+        new LedgerNode(
+            settings.self(), noncePrefix, settings.limits(), settings.policy(), new Output());
   }
 
   /** Starts the periodic removal of shards that are not used. */
   public void start() {
-    loop.every(
-        KEEP_UNUSED_SHARD,
-        () -> runners.values().removeIf(runner -> runner.unusedFor(KEEP_UNUSED_SHARD)));
+    loop.every(DROP_IDLE_SHARDS, node::dropIdleShards);
   }
 
   /**
@@ -104,24 +101,35 @@
         new Attempt(
             LedgerKey.of(workspace, key),
             requestDigest,
-            newNonce(),
-            self.value(),
+            noncePrefix + randomHex(),
+            settings.self().value(),
             membership.incarnation());
+    String nonce = attempt.nonce();
     KeyedCall call =
-        new KeyedCall(deadlineNanos, event -> loop.execute(() -> handle(attempt.nonce(), event)));
-    if (KeyAge.expired(key, limits.get().retention(), wallSeconds())) {
+        new KeyedCall(deadlineNanos, (c, event) -> loop.execute(() -> handle(nonce, c, event)));
+    if (KeyAge.expired(key, settings.limits().get().retention(), now().wallSeconds())) {
       call.completeReply(new KeyedReply.KeyExpired());
       return call;
     }
-    KeyedRequest request = new KeyedRequest(attempt, deadlineNanos, policy);
     loop.execute(
         () -> {
-          active.put(attempt.nonce(), new ActiveRequest(request, call));
-          handle(attempt.nonce(), new KeyedEvent.Begin(false));
+          calls.put(nonce, call);
+          node.setMembers(
+              peers.isPresent() ? membership.live() : List.of(), settings.storeRegion());
+          node.begin(attempt, deadlineNanos, now());
         });
     return call;
   }
 
+  /**
+   * Handles a ledger message of another node.
+   *
+   * @param incarnation incarnation of the sender
+   */
+  public void receive(HostId from, long incarnation, LedgerMessage message) {
+    loop.execute(() -> node.receive(from, incarnation, message, now()));
+  }
+
   /** Completes with true once all records are stored, or with false when the limit is over. */
   public CompletableFuture<Boolean> drain(Duration limit) {
     CompletableFuture<Boolean> drained = new CompletableFuture<>();
@@ -136,99 +144,88 @@
   }
 
   private void checkDrained(CompletableFuture<Boolean> drained, long endNanos) {
-    boolean idle = active.isEmpty() && runners.values().stream().allMatch(ShardRunner::idle);
-    if (idle || loop.nanos() >= endNanos) {
-      drained.complete(idle);
+    if (node.idle() || loop.nanos() - endNanos >= 0) {
+      drained.complete(node.idle());
     } else {
       loop.schedule(DRAIN_CHECK, () -> checkDrained(drained, endNanos));
     }
   }
 
-  private void handle(String nonce, KeyedEvent event) {
-    ActiveRequest found = active.get(nonce);
-    if (found == null) {
-      return;
-    }
+  private void handle(String nonce, KeyedCall call, KeyedEvent event) {
     // A caller that left between the permission to dispatch and its claim was not dispatched.
-    boolean dispatchUnclaimed =
-        event instanceof KeyedEvent.CallerGone && found.call().mayDispatch().getNow(false);
-    List<KeyedCommand> commands = new ArrayList<>();
-    found
-        .request()
-        .handle(
-            dispatchUnclaimed ? new KeyedEvent.RunEnded(new RunOutcome.NotSent()) : event,
-            loop.nanos(),
-            commands::add);
-    commands.forEach(command -> execute(nonce, found, command));
-    if (found.request().done()) {
-      active.remove(nonce);
-    }
+    boolean unclaimed = event instanceof KeyedEvent.CallerGone && call.mayDispatch().getNow(false);
+    node.handle(
+        nonce, unclaimed ? new KeyedEvent.RunEnded(new RunOutcome.NotSent()) : event, now());
   }
 
-  private void execute(String nonce, ActiveRequest active, KeyedCommand command) {
-    switch (command) {
-      case KeyedCommand.StartDirectly c ->
-          shard(c.attempt().key()).handle(new ShardEvent.StartRequested(c.attempt()));
-      case KeyedCommand.CancelDirectly c ->
-          shard(c.attempt().key())
-              .handle(new ShardEvent.CancelRequested(c.attempt(), c.leaveMark()));
-      case KeyedCommand.FinishDirectly c -> shard(c.request().key()).handle(c.request());
-      case KeyedCommand.ForwardStart c -> {}
-      case KeyedCommand.ForwardFinish c -> {}
-      case KeyedCommand.Dispatch c -> dispatch(nonce, active.call());
-      case KeyedCommand.Reply c -> active.call().completeReply(c.reply());
-      case KeyedCommand.SetTimer c ->
-          loop.schedule(
-              Duration.ofNanos(c.atNanos() - loop.nanos()),
-              () -> handle(nonce, new KeyedEvent.TimerFired(c.timer())));
-    }
+  private Now now() {
+    return new Now(loop.nanos(), wallClock.instant().getEpochSecond());
   }
 
-  private void dispatch(String nonce, KeyedCall call) {
-    if (call.callerIsGone()) {
-      handle(nonce, new KeyedEvent.RunEnded(new RunOutcome.NotSent()));
-    } else {
-      call.completeDispatch();
-    }
+  private String randomHex() {
+    byte[] bytes = new byte[NONCE_HALF_BYTES];
+    random.nextBytes(bytes);
+    return HexFormat.of().formatHex(bytes);
   }
 
-  private ShardRunner shard(LedgerKey key) {
-    return runners.computeIfAbsent(
-        key.shard(),
-        shard ->
-            new ShardRunner(shard, limits.get(), store, loop, this::wallSeconds, this::answered));
-  }
+  /** Carries out what the node asks for; every answer comes as a later task of the loop. */
+  private final class Output implements LedgerOutput {
+    @Override
+    public void read(int shard) {
+      storeCalls.read(shard, toShard(shard));
+    }
 
-  private void answered(ShardCommand command) {
-    @Nullable KeyedEvent event =
-        switch (command) {
-          case ShardCommand.StartAnswer a ->
-              new KeyedEvent.StartAnswered(StartPath.DIRECT, a.result());
-          case ShardCommand.CancelAnswer a -> new KeyedEvent.Cancelled();
-          case ShardCommand.FinishAnswer a -> new KeyedEvent.FinishAnswered(a.stored());
-          default -> null;
-        };
-    if (event != null) {
-      handle(nonceOf(command), event);
+    @Override
+    public void write(int shard, String version, JsonNode content) {
+      storeCalls.write(shard, version, content, toShard(shard));
     }
-  }
 
-  private static String nonceOf(ShardCommand command) {
-    return switch (command) {
-      case ShardCommand.StartAnswer a -> a.attempt().nonce();
-      case ShardCommand.CancelAnswer a -> a.attempt().nonce();
-      case ShardCommand.FinishAnswer a -> a.nonce();
-      default -> throw new IllegalArgumentException("not an answer: " + command);
-    };
-  }
+    private Consumer<ShardEvent> toShard(int shard) {
+      return event -> node.handle(shard, event, now());
+    }
 
-  private long wallSeconds() {
-    return wallClock.instant().getEpochSecond();
-  }
+    @Override
+    public void wake(int shard, long atNanos) {
+      @Nullable TimerSubscription old =
+          wakes.put(
+              shard,
+              loop.schedule(
+                  Duration.ofNanos(atNanos - loop.nanos()),
+                  () -> node.handle(shard, new ShardEvent.Woken(), now())));
+      if (old != null) {
+        old.cancel();
+      }
+    }
 
-  private String newNonce() {
-    byte[] bytes = new byte[NONCE_BYTES];
-    random.nextBytes(bytes);
-    return HexFormat.of().formatHex(bytes);
+    @Override
+    public void setTimer(String nonce, KeyedTimer timer, long atNanos) {
+      loop.schedule(
+          Duration.ofNanos(atNanos - loop.nanos()),
+          () -> node.handle(nonce, new KeyedEvent.TimerFired(timer), now()));
+    }
+
+    @Override
+    public void dispatch(String nonce) {
+      KeyedCall call = calls.get(nonce);
+      if (call == null || call.callerIsGone()) {
+        KeyedEvent notSent = new KeyedEvent.RunEnded(new RunOutcome.NotSent());
+        loop.execute(() -> node.handle(nonce, notSent, now()));
+      } else {
+        call.completeDispatch();
+      }
+    }
+
+    @Override
+    public void reply(String nonce, KeyedReply reply) {
+      KeyedCall call = calls.remove(nonce);
+      if (call != null) {
+        call.completeReply(reply);
+      }
+    }
+
+    @Override
+    public void send(HostId to, LedgerMessage message) {
+      peers.ifPresent(p -> p.send(to, message));
+    }
   }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/mustardlatch/daemon/ledger/StoreCalls.java
@@ -0,0 +1,88 @@
+package org.mustardlatch.daemon.ledger;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.mustardlatch.core.ledger.LedgerKey;
+import org.mustardlatch.core.ledger.ShardEvent;
+import org.mustardlatch.daemon.log.EventLog;
+import org.mustardlatch.daemon.log.LogEvent;
+import org.mustardlatch.daemon.node.EventLoop;
+import org.mustardlatch.daemon.store.ObjectStoreClient;
+import org.mustardlatch.daemon.store.ReadResult;
+import org.mustardlatch.daemon.store.WriteResult;
+
+/** Reads and writes shard objects and reports the results as events on the loop's thread. */
+final class StoreCalls {
+  private static final String KIND = "ledger";
+
+  private final ObjectStoreClient store;
+  private final EventLoop loop;
+  private final Set<Integer> failing = new HashSet<>();
+
+  StoreCalls(ObjectStoreClient store, EventLoop loop) {
+    this.store = store;
+    this.loop = loop;
+  }
+
+  void read(int shard, Consumer<ShardEvent> result) {
+    whenDone(store.get(KIND, LedgerKey.shardName(shard)), r -> result.accept(toEvent(shard, r)));
+  }
+
+  void write(int shard, String version, JsonNode content, Consumer<ShardEvent> result) {
+    whenDone(
+        store.put(KIND, LedgerKey.shardName(shard), version, content),
+        r -> result.accept(toEvent(shard, r)));
+  }
+
+  private <T> void whenDone(CompletableFuture<T> future, Consumer<T> action) {
+    CompletableFuture<Void> unused =
+        future.thenAccept(result -> loop.execute(() -> action.accept(result)));
+  }
+
+  private ShardEvent toEvent(int shard, ReadResult result) {
+    return switch (result) {
+      case ReadResult.Found f -> {
+        worked(shard);
+        yield new ShardEvent.ReadFinished(f.object().version(), f.object().spec());
+      }
+      case ReadResult.NotFound n -> {
+        worked(shard);
+        yield new ShardEvent.ReadFinished("", null);
+      }
+      case ReadResult.Failed f -> {
+        failed(shard, f.reason());
+        yield new ShardEvent.ReadFailed();
+      }
+    };
+  }
+
+  private ShardEvent toEvent(int shard, WriteResult result) {
+    return switch (result) {
+      case WriteResult.Stored s -> new ShardEvent.WriteStored(s.version());
+      case WriteResult.Conflict c -> new ShardEvent.WriteConflicted();
+      case WriteResult.Refused r -> {
+        failed(shard, r.reason());
+        yield new ShardEvent.WriteRefused(r.tooLarge(), r.retryAfter().toNanos());
+      }
+      case WriteResult.Unknown u -> {
+        EventLog.log(LogEvent.LEDGER_WRITE_UNKNOWN, shard, u.reason());
+        yield new ShardEvent.WriteUnknown();
+      }
+    };
+  }
+
+  private void failed(int shard, String reason) {
+    if (failing.add(shard)) {
+      EventLog.log(LogEvent.LEDGER_STORE_FAILS, shard, reason);
+    }
+  }
+
+  private void worked(int shard) {
+    if (failing.remove(shard)) {
+      EventLog.log(LogEvent.LEDGER_STORE_BACK, shard);
+    }
+  }
+}
