--- /dev/null
+++ b/wire/src/test/java/org/mustardlatch/wire/PeerNodeTest.java
@@ -0,0 +1,128 @@
+package org.mustardlatch.wire;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.mustardlatch.core.membership.MemberList;
+import org.mustardlatch.core.model.HostId;
+import org.mustardlatch.core.model.RegionId;
+import org.mustardlatch.core.model.UpstreamId;
+import org.mustardlatch.core.model.ZoneId;
+import org.mustardlatch.core.peer.EvidenceMessage;
+import org.mustardlatch.core.peer.PeerMessage;
+
+/** Guards the wiring of transport, membership and rollout over real sockets. */
+class PeerNodeTest {
+  private static final class Recorder implements PeerNodeListener {
+    final ConcurrentLinkedQueue<PeerMessage> received = new ConcurrentLinkedQueue<>();
+    final ConcurrentLinkedQueue<Throwable> errors = new ConcurrentLinkedQueue<>();
+    volatile long accepted;
+
+    @Override
+    public void membersChanged(MemberList list) {}
+
+    @Override
+    public void suspected(HostId host) {}
+
+    @Override
+    public void fenced(long incarnation, long pausedNanos) {}
+
+    @Override
+    public boolean apply(long revision, String text) {
+      return true;
+    }
+
+    @Override
+    public void accepted(long revision) {
+      accepted = revision;
+    }
+
+    @Override
+    public void watchChanged(boolean watch) {}
+
+    @Override
+    public void ready(long revision) {}
+
+    @Override
+    public void received(HostId from, long incarnation, PeerMessage message) {
+      received.add(message);
+    }
+
+    @Override
+    public void unexpected(Throwable error) {
+      errors.add(error);
+    }
+  }
+
+  private final SystemTimers timers = new SystemTimers(1);
+  private final List<PeerNode> nodes = new ArrayList<>();
+  private final List<Recorder> recorders = new ArrayList<>();
+
+  @AfterEach
+  void stopAll() {
+    nodes.forEach(PeerNode::stop);
+    timers.close();
+    recorders.forEach(r -> assertThat(r.errors).isEmpty());
+  }
+
+  private InetSocketAddress start(int number, List<String> seeds) {
+    Recorder recorder = new Recorder();
+    PeerNode node =
+        new PeerNode(
+            new PeerNodeOptions(
+                new HostId("n" + number),
+                new RegionId(number % 2 == 0 ? "r0" : "r1"),
+                new ZoneId("z"),
+                1,
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                null,
+                seeds,
+                null,
+                null),
+            timers,
+            new Random(number),
+            recorder);
+    nodes.add(node);
+    recorders.add(recorder);
+    return node.start();
+  }
+
+  private static void await(BooleanSupplier condition) throws InterruptedException {
+    CountDownLatch never = new CountDownLatch(1);
+    for (int i = 0; i < 4_000 && !condition.getAsBoolean(); i++) {
+      assertThat(never.await(10, TimeUnit.MILLISECONDS)).isFalse();
+    }
+    assertThat(condition.getAsBoolean()).isTrue();
+  }
+
+  @Test
+  void nodesJoinSpreadManifestsAndEvidenceAndNoticeALeave() throws Exception {
+    InetSocketAddress first = start(0, List.of());
+    String seed = first.getAddress().getHostAddress() + ":" + first.getPort();
+    for (int i = 1; i < 5; i++) {
+      start(i, List.of(seed));
+    }
+    await(() -> nodes.stream().allMatch(n -> n.members().members().size() == 5));
+    nodes.get(3).published(1, "one");
+    await(() -> nodes.stream().allMatch(n -> n.revision() == 1 && n.ready()));
+    await(() -> recorders.get(3).accepted == 1);
+    EvidenceMessage notice = new EvidenceMessage.LeavingNotice(new UpstreamId("u"));
+    nodes.get(1).spread(notice);
+    await(() -> recorders.stream().filter(r -> r.received.contains(notice)).count() == 4);
+    nodes.get(2).send(new HostId("n2"), notice);
+    await(() -> recorders.get(2).received.size() == 2);
+    nodes.get(4).leave();
+    await(() -> nodes.stream().limit(4).allMatch(n -> n.members().members().size() == 4));
+    assertThat(nodes.get(0).dump()).containsKey("membership");
+  }
+}
