--- a/standin/src/main/java/org/mustardlatch/standin/EngineStandin.java
+++ b/standin/src/main/java/org/mustardlatch/standin/EngineStandin.java
@@ -28,8 +28,8 @@
     this.table = new AllocationTable(options.slots(), options.memoryPieces());
     this.orders = new OrderBook(options.checksFencing());
     this.prefill = new Prefill(options, faults, table);
-    this.decode = new Decode(options, faults, table, this::crash);
     this.server = new StandinServer(options.port(), this::routes);
+    this.decode = new Decode(options, faults, table, this::crash, server::isSilent);
   }
 
   /** Starts listening. After {@link #crash} it listens on the same port again. */
