--- a/core/src/test/java/org/mustardlatch/core/ledger/FakeStore.java
+++ b/core/src/test/java/org/mustardlatch/core/ledger/FakeStore.java
@@ -24,7 +24,7 @@
   private long slowUntil;
   private boolean faulty = true;
 
-  private record Stored(String version, @Nullable JsonNode content) {}
+  record Stored(String version, @Nullable JsonNode content) {}
 
   FakeStore(VirtualTimerService time, RandomGenerator random) {
     this.time = time;
@@ -72,8 +72,9 @@
       return;
     }
     time.schedule(CLIENT_TIMEOUT, () -> answer.give(new ShardEvent.WriteUnknown()));
-    boolean late = faulty && random.nextInt(12) == 0;
-    Duration sendDelay = late ? Duration.ofMillis(random.nextInt(90_000)) : delay();
+    boolean late = faulty && random.nextInt(6) == 0;
+    int lateMillis = random.nextBoolean() ? 6_000 : 90_000;
+    Duration sendDelay = late ? Duration.ofMillis(random.nextInt(lateMillis)) : delay();
     time.schedule(sendDelay, () -> apply(shard, version, content, answer));
   }
 
--- a/daemon/src/main/java/org/mustardlatch/daemon/Daemon.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/Daemon.java
@@ -5,6 +5,7 @@
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -17,6 +18,7 @@
 import org.mustardlatch.core.settings.Settings;
 import org.mustardlatch.daemon.caller.CallerApi;
 import org.mustardlatch.daemon.ledger.LedgerService;
+import org.mustardlatch.daemon.ledger.LedgerSettings;
 import org.mustardlatch.daemon.log.EventLog;
 import org.mustardlatch.daemon.log.LogEvent;
 import org.mustardlatch.daemon.node.AppliedManifest;
@@ -74,11 +76,11 @@
     manifests = new ManifestService(new ManifestStore(store, loop, random), manifest, loop);
     ledger =
         new LedgerService(
-            settings.host(),
+            new LedgerSettings(
+                settings.host(), Optional.empty(), this::ledgerLimits, KeyedPolicy.DEFAULT),
             members,
             store,
-            this::ledgerLimits,
-            KeyedPolicy.DEFAULT,
+            Optional.empty(),
             InstantSource.system(),
             random);
     Owner owner = new Owner(settings.host(), router::incarnation);
--- a/standin/src/main/java/org/mustardlatch/standin/ApplicationFaults.java
+++ b/standin/src/main/java/org/mustardlatch/standin/ApplicationFaults.java
@@ -6,6 +6,7 @@
   private volatile boolean stalled;
   private volatile boolean losingAnswers;
   private volatile boolean failing;
+  private int waiting;
 
   /** Refuses calls with 503 before they run. */
   public void refuse(boolean on) {
@@ -40,9 +41,19 @@
     return failing;
   }
 
+  /** Returns the number of calls that are held by {@link #stall}. */
+  public synchronized int waiting() {
+    return waiting;
+  }
+
   synchronized void awaitNoStall() throws InterruptedException {
-    while (stalled) {
-      wait();
+    waiting++;
+    try {
+      while (stalled) {
+        wait();
+      }
+    } finally {
+      waiting--;
     }
   }
 }
