Connect the daemon with its peers

Members, admission and evidence messages go between the peer service and NodeRouter; manifests go through the rollout, which puts them into force on all nodes and tells when a publication is accepted.

--- a/daemon/src/main/java/org/mustardlatch/daemon/Daemon.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/Daemon.java
@@ -4,6 +4,7 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.security.SecureRandom;
 import java.time.Duration;
+import java.time.Instant;
 import java.time.InstantSource;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
@@ -23,11 +24,11 @@
 import org.mustardlatch.daemon.node.EventLoop;
 import org.mustardlatch.daemon.node.ManifestInForce;
 import org.mustardlatch.daemon.node.ManifestService;
-import org.mustardlatch.daemon.node.Membership;
 import org.mustardlatch.daemon.node.NodeState;
 import org.mustardlatch.daemon.operator.NodeViews;
 import org.mustardlatch.daemon.operator.OperatorApi;
 import org.mustardlatch.daemon.operator.RequestMetrics;
+import org.mustardlatch.daemon.peer.PeerServiceListener;
 import org.mustardlatch.daemon.routing.RoutingService;
 import org.mustardlatch.daemon.store.ManifestStore;
 import org.mustardlatch.daemon.store.ObjectStoreClient;
@@ -49,7 +50,8 @@
   private final ExecutorService calls = Executors.newVirtualThreadPerTaskExecutor();
   private final ManifestInForce manifest = new ManifestInForce();
   private final UpstreamHosts hosts = new UpstreamHosts();
-  private final Membership members;
+  private final EventLoop peerLoop = new EventLoop("peers");
+  private final PeerBinding peers;
   private final ObjectStoreClient store;
   private final ManifestService manifests;
   private final LedgerService ledger;
@@ -62,20 +64,21 @@
   /** Creates a node that is not started. */
   public Daemon(Settings settings) {
     this.settings = settings;
-    this.members = new SingleNode(settings);
+    long incarnation = Instant.now().toEpochMilli();
+    peers = new PeerBinding(settings, incarnation, peerLoop, manifest, this::post);
     RandomGenerator random = new SecureRandom();
     NodeRouter router =
         new NodeRouter(
             settings.host(),
             settings.region(),
-            members.incarnation(),
+            incarnation,
             RandomGenerator.of("L64X128MixRandom"));
     store = new ObjectStoreClient(settings.objectService(), ObjectStoreTimeouts.DEFAULT, loop);
-    manifests = new ManifestService(new ManifestStore(store, loop, random), manifest, loop);
+    manifests = new ManifestService(new ManifestStore(store, loop, random), peers.service(), loop);
     ledger =
         new LedgerService(
             settings.host(),
-            members,
+            peers,
             store,
             this::ledgerLimits,
             KeyedPolicy.DEFAULT,
@@ -83,7 +86,7 @@
             random);
     Owner owner = new Owner(settings.host(), router::incarnation);
     EngineCalls engines = new EngineCalls(hosts, manifest, loop, calls, owner, this::post);
-    routing = new RoutingService(loop, router, engines, (to, message) -> {});
+    routing = new RoutingService(loop, router, engines, peers.service()::send);
     poller = new UpstreamPoller(hosts, router::admittedEngines, loop, calls, this::post);
     PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     callers =
@@ -100,7 +103,7 @@
             settings.operatorAddress(),
             state,
             manifest,
-            new NodeViews(settings, state, manifest, members, routing, engines),
+            new NodeViews(settings, state, manifest, peers, routing, engines),
             manifests,
             this::drain,
             registry);
@@ -108,11 +111,11 @@
 
   /** Starts all services. The node is ready when a manifest is in force. */
   public void start() {
-    EventLog.log(LogEvent.DAEMON_STARTING, settings.host(), settings.zone(), members.incarnation());
+    EventLog.log(LogEvent.DAEMON_STARTING, settings.host(), settings.zone(), peers.incarnation());
     var unused = manifest.changes().subscribe(this::apply);
-    post(new RoutingEvent.MembersChanged(members.live()));
+    peers.service().addListener(new ReadyListener());
+    var unusedAddress = peers.service().start();
     manifests.start();
-    manifests.watch(true);
     ledger.start();
     poller.start();
     operators.start();
@@ -142,7 +145,9 @@
     poller.stop();
     ledger.stop();
     manifests.stop();
+    peers.service().stop();
     store.close();
+    peerLoop.stop();
     loop.stop();
     calls.shutdownNow();
   }
@@ -167,16 +172,18 @@
     if (callers.inProgress() > 0) {
       loop.schedule(DRAIN_POLL, this::awaitLast);
     } else {
-      var unused = ledger.drain(LEDGER_DRAIN).thenRun(drained::countDown);
+      var unused = ledger.drain(LEDGER_DRAIN).thenRun(this::leave);
     }
   }
 
   private void apply(AppliedManifest applied) {
     hosts.apply(applied.manifest());
     post(new RoutingEvent.ManifestApplied(applied.revision(), applied.manifest()));
-    if (state.enter(NodeState.Phase.READY)) {
-      EventLog.log(LogEvent.DAEMON_READY, applied.revision());
-    }
+  }
+
+  private void leave() {
+    peers.service().leave();
+    drained.countDown();
   }
 
   private LedgerLimits ledgerLimits() {
@@ -187,4 +194,14 @@
   private void post(RoutingEvent event) {
     routing.post(event);
   }
+
+  /** Turns readiness on when the manifest in force is recent enough. */
+  private final class ReadyListener implements PeerServiceListener {
+    @Override
+    public void configurationReady(long revision) {
+      if (state.enter(NodeState.Phase.READY)) {
+        EventLog.log(LogEvent.DAEMON_READY, revision);
+      }
+    }
+  }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/mustardlatch/daemon/PeerBinding.java
@@ -0,0 +1,122 @@
+package org.mustardlatch.daemon;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
+import org.mustardlatch.core.error.MustardlatchException;
+import org.mustardlatch.core.membership.MemberList;
+import org.mustardlatch.core.model.HostId;
+import org.mustardlatch.core.peer.AdmissionMessage;
+import org.mustardlatch.core.peer.EvidenceMessage;
+import org.mustardlatch.core.peer.PeerMessage;
+import org.mustardlatch.core.routing.Member;
+import org.mustardlatch.core.routing.RoutingEvent;
+import org.mustardlatch.core.settings.PeerSecurity;
+import org.mustardlatch.core.settings.Settings;
+import org.mustardlatch.core.settings.SocketAddress;
+import org.mustardlatch.core.time.TimerService;
+import org.mustardlatch.daemon.log.EventLog;
+import org.mustardlatch.daemon.log.LogEvent;
+import org.mustardlatch.daemon.node.ManifestInForce;
+import org.mustardlatch.daemon.node.Membership;
+import org.mustardlatch.daemon.peer.PeerService;
+import org.mustardlatch.daemon.peer.PeerServiceListener;
+import org.mustardlatch.wire.PeerNodeOptions;
+import org.mustardlatch.wire.TlsFiles;
+
+/** Connects the peer service with the manifest in force and the routing decisions. */
+final class PeerBinding implements Membership, PeerServiceListener {
+  private final PeerService peers;
+  private final ManifestInForce manifest;
+  private final Consumer<RoutingEvent> events;
+
+  /**
+   * Creates the peer service; it is not started.
+   *
+   * @param incarnation incarnation of this process
+   * @param events takes members and messages for the routing decisions
+   */
+  PeerBinding(
+      Settings settings,
+      long incarnation,
+      TimerService timers,
+      ManifestInForce manifest,
+      Consumer<RoutingEvent> events) {
+    this.manifest = manifest;
+    this.events = events;
+    this.peers =
+        new PeerService(
+            options(settings, incarnation),
+            timers,
+            RandomGenerator.of("L64X128MixRandom"),
+            this::apply);
+    peers.addListener(this);
+  }
+
+  PeerService service() {
+    return peers;
+  }
+
+  @Override
+  public List<Member> live() {
+    return peers.members().members();
+  }
+
+  @Override
+  public long incarnation() {
+    return peers.incarnation();
+  }
+
+  @Override
+  public void membersChanged(MemberList list) {
+    events.accept(new RoutingEvent.MembersChanged(list.members()));
+  }
+
+  @Override
+  public void fenced(long incarnation) {
+    events.accept(new RoutingEvent.MembersChanged(live()));
+  }
+
+  @Override
+  public void received(HostId from, long incarnation, PeerMessage message) {
+    switch (message) {
+      case AdmissionMessage m -> events.accept(new RoutingEvent.PeerReceived(from, m));
+      case EvidenceMessage m -> events.accept(new RoutingEvent.PeerReceived(from, m));
+      default -> {
+        // Ledger messages are not sent yet: every node writes its records directly.
+      }
+    }
+  }
+
+  private boolean apply(long revision, String text) {
+    try {
+      manifest.apply(revision, text);
+      return true;
+    } catch (MustardlatchException e) {
+      EventLog.log(LogEvent.MANIFEST_REFUSED, String.valueOf(e.getMessage()));
+      return false;
+    }
+  }
+
+  private static PeerNodeOptions options(Settings settings, long incarnation) {
+    return new PeerNodeOptions(
+        settings.host(),
+        settings.region(),
+        settings.zone(),
+        incarnation,
+        new InetSocketAddress(settings.peerAddress().ip(), settings.peerAddress().port()),
+        null,
+        settings.seeds().stream().map(SocketAddress::toString).toList(),
+        tls(settings.security()),
+        null);
+  }
+
+  private static @Nullable TlsFiles tls(PeerSecurity security) {
+    return switch (security) {
+      case PeerSecurity.MutualTls t -> new TlsFiles(t.certificate(), t.key(), t.ca());
+      case PeerSecurity.Plain p -> null;
+    };
+  }
+}
--- a/daemon/src/main/java/org/mustardlatch/daemon/node/ManifestService.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/node/ManifestService.java
@@ -11,61 +11,58 @@
 import org.mustardlatch.core.manifest.ManifestParser;
 import org.mustardlatch.core.time.TimerService;
 import org.mustardlatch.core.time.TimerSubscription;
-import org.mustardlatch.daemon.log.EventLog;
-import org.mustardlatch.daemon.log.LogEvent;
+import org.mustardlatch.daemon.peer.PeerService;
+import org.mustardlatch.daemon.peer.PeerServiceListener;
 import org.mustardlatch.daemon.store.ManifestRevision;
 import org.mustardlatch.daemon.store.ManifestStore;
 import org.mustardlatch.daemon.store.PublishResult;
 
 /**
- * Brings manifests from the object service into force on this node and publishes new ones. The
- * object service is read at the start until it answers; while it is down the manifest in force
- * stays.
+ * Brings manifests from the object service to the peer service, which puts them into force here and
+ * on the other nodes, and publishes new ones. The object service is read at the start until it
+ * answers; while it is down the manifest in force stays.
  */
-public final class ManifestService implements ManifestPublisher {
+public final class ManifestService implements ManifestPublisher, PeerServiceListener {
   private static final Duration READ_RETRY = Duration.ofSeconds(1);
   private static final Duration SETTLE_TIME = Duration.ofSeconds(5);
   private static final Duration PUBLISH_BOUND = SETTLE_TIME.plusSeconds(5);
 
+  /** Twice the bound of 4 s within which a manifest must be in force everywhere. */
+  private static final Duration ACCEPT_BOUND = Duration.ofSeconds(8);
+
   private final ManifestStore store;
-  private final ManifestInForce manifest;
+  private final PeerService peers;
   private final TimerService timers;
-  private final CompletableFuture<Boolean> firstRead = new CompletableFuture<>();
-  private volatile boolean stopped;
+  private final RevisionWait accepted = new RevisionWait();
+  private boolean stopped;
   private @Nullable TimerSubscription watch;
 
   /** Creates a service that is not started. */
-  public ManifestService(ManifestStore store, ManifestInForce manifest, TimerService timers) {
+  public ManifestService(ManifestStore store, PeerService peers, TimerService timers) {
     this.store = store;
-    this.manifest = manifest;
+    this.peers = peers;
     this.timers = timers;
+    peers.addListener(this);
   }
 
   /** Reads the manifest now and again until the object service has answered once. */
-  public void start() {
+  public synchronized void start() {
+    if (stopped) {
+      return;
+    }
     var unused =
         store
             .read()
             .thenAccept(
-                found -> {
-                  if (found.isPresent()) {
-                    apply(found.get());
-                    firstRead.complete(true);
-                  } else if (!stopped) {
-                    timers.schedule(READ_RETRY, this::start);
-                  }
-                });
-  }
-
-  /** Completes when the object service has told the latest manifest once. */
-  public CompletableFuture<Boolean> firstRead() {
-    return firstRead;
+                found ->
+                    found.ifPresentOrElse(
+                        this::stored, () -> timers.schedule(READ_RETRY, this::start)));
   }
 
-  /** Holds a watch on the manifest, or gives it up; only a few nodes of a region hold one. */
-  public synchronized void watch(boolean on) {
+  @Override
+  public synchronized void watchManifest(boolean on) {
     if (on && watch == null && !stopped) {
-      watch = store.watch(this::apply);
+      watch = store.watch(this::stored);
     } else if (!on && watch != null) {
       watch.cancel();
       watch = null;
@@ -73,9 +70,14 @@
   }
 
   /** Ends the watch. */
-  public void stop() {
+  public synchronized void stop() {
     stopped = true;
-    watch(false);
+    watchManifest(false);
+  }
+
+  @Override
+  public void manifestAccepted(long revision) {
+    accepted.reached(revision);
   }
 
   @Override
@@ -83,12 +85,9 @@
     ManifestParser.parse("manifest", text).orThrow(ErrorCode.MANIFEST_INVALID);
     PublishResult result = await(store.publish(base, text, SETTLE_TIME), base);
     return switch (result) {
-      case PublishResult.Published p -> {
-        apply(new ManifestRevision(p.revision(), text));
-        yield p.revision();
-      }
+      case PublishResult.Published p -> spread(p.revision(), text);
       case PublishResult.Conflict c -> {
-        apply(c.other());
+        stored(c.other());
         throw new MustardlatchException(
             ErrorCode.MANIFEST_CONFLICT,
             "revision %d is the latest, not %d".formatted(c.other().revision(), base));
@@ -96,21 +95,27 @@
       case PublishResult.Refused r ->
           throw new MustardlatchException(
               ErrorCode.STORE_UNAVAILABLE, "nothing was published: " + r.reason());
-      case PublishResult.Unknown u ->
-          throw new MustardlatchException(
-              ErrorCode.MANIFEST_UNKNOWN,
-              "revision %d may be published (%s); run \"mustardlatch status\""
-                  .formatted(u.revision(), u.reason()));
+      case PublishResult.Unknown u -> throw unknown(u.revision(), u.reason());
     };
   }
 
-  /** Brings a revision into force that came from the object service or a peer. */
-  public void apply(ManifestRevision revision) {
-    try {
-      manifest.apply(revision.revision(), revision.text());
-    } catch (MustardlatchException e) {
-      EventLog.log(LogEvent.MANIFEST_REFUSED, String.valueOf(e.getMessage()));
+  private long spread(long revision, String text) {
+    peers.manifestPublished(revision, text);
+    if (!accepted.await(revision, ACCEPT_BOUND)) {
+      throw unknown(revision, "it is stored, but too few nodes have it in force");
     }
+    return revision;
+  }
+
+  private void stored(ManifestRevision revision) {
+    peers.manifestStored(revision.revision(), revision.text());
+  }
+
+  private static MustardlatchException unknown(long revision, String reason) {
+    return new MustardlatchException(
+        ErrorCode.MANIFEST_UNKNOWN,
+        "revision %d may be published (%s); run \"mustardlatch status\""
+            .formatted(revision, reason));
   }
 
   private static PublishResult await(CompletableFuture<PublishResult> result, long base) {
