--- a/core/src/main/java/org/mustardlatch/core/routing/Attempt.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/Attempt.java
@@ -41,6 +41,15 @@
   long validUntilNanos;
   long renewedNanos;
   boolean extended;
+
+  /** Tokens of the request when the progress of the decode was last looked at. */
+  int tokensAtCheck;
+
+  long checkedNanos;
+
+  /** Whether the decode was slow when the admitting node last heard of it. */
+  boolean slow;
+
   long progressNanos;
 
   Attempt(AttemptId id, Cell cell, @Nullable KvHandle inherited) {
--- a/core/src/main/java/org/mustardlatch/core/routing/AttemptTimes.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/AttemptTimes.java
@@ -9,10 +9,13 @@
   private static final long REMOTE_ASK_TIMEOUT_NANOS = 300_000_000;
   // A transfer that has not ended this long before its KV cache expires is taken elsewhere.
   private static final long TRANSFER_RESERVE_NANOS = 200_000_000;
-  private static final long DECODE_CHECK_NANOS = 500_000_000;
+  static final long DECODE_CHECK_NANOS = 500_000_000;
   static final long QUEUE_CHECK_NANOS = 200_000_000;
   static final long MIN_STALL_NANOS = 2_000_000_000;
 
+  // Scheduling noise of short prefills.
+  private static final long LATE_SLACK_NANOS = 20_000_000;
+
   private final NodeSettings settings;
   private final RegionId region;
 
@@ -32,8 +35,11 @@
     return Math.max(q.request.firstTokenDeadlineNanos(), promised) + grace;
   }
 
-  static long hedgeAt(Attempt a) {
-    return a.grantedNanos + a.predictedNanos() * 3 / 2 + 20_000_000;
+  /** Returns the time at which a prefill counts as late. */
+  long lateAt(Attempt a) {
+    return a.grantedNanos
+        + (long) (a.predictedNanos() * settings.tuning().lateFactor())
+        + LATE_SLACK_NANOS;
   }
 
   static long transferLimit(Attempt a, KvHandle handle) {
@@ -53,7 +59,7 @@
         boolean unanswered = a.lastAskNanos > a.progressNanos;
         yield a.lastAskNanos + (unanswered ? askTimeout(a) : QUEUE_CHECK_NANOS);
       }
-      case PREFILL -> a.extended ? latestUseful(q, a) + 1 : hedgeAt(a);
+      case PREFILL -> a.extended ? latestUseful(q, a) + 1 : lateAt(a);
       case TRANSFER -> a.handle == null ? now : transferLimit(a, a.handle);
       case DECODE -> now + DECODE_CHECK_NANOS;
     };
--- a/core/src/main/java/org/mustardlatch/core/routing/CellChooser.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/CellChooser.java
@@ -16,6 +16,10 @@
   // A summary says nothing any more once most of the requests it counted have moved on.
   private static final long SUMMARY_AGE_NANOS = 1_000_000_000;
 
+  // A cell with less room than this needs it for the callers of its own region.
+  private static final long MAX_REMOTE_WAIT_NANOS = 20_000_000;
+  private static final int MIN_REMOTE_SLOTS = 8;
+
   private record Known(CellSummary summary, long atNanos) {}
 
   private final RegionId region;
@@ -57,7 +61,10 @@
 
   private boolean mayHaveRoom(Cell cell, long now) {
     Known k = summaries.get(cell.name());
-    return k == null || now - k.atNanos() > SUMMARY_AGE_NANOS || k.summary().freeSlots() > 0;
+    return k == null
+        || now - k.atNanos() > SUMMARY_AGE_NANOS
+        || (k.summary().freeSlots() >= MIN_REMOTE_SLOTS
+            && k.summary().predictedWaitNanos() < MAX_REMOTE_WAIT_NANOS);
   }
 
   private static List<Cell> candidates(List<Cell> cells, Set<String> refused) {
--- a/core/src/main/java/org/mustardlatch/core/routing/CrossRegionBudget.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/CrossRegionBudget.java
@@ -32,4 +32,9 @@
     bytes -= wanted;
     return true;
   }
+
+  /** Returns bytes that were taken and not sent. */
+  void giveBack(double unused) {
+    bytes = Math.min(rate, bytes + unused);
+  }
 }
--- a/core/src/main/java/org/mustardlatch/core/routing/EngineState.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/EngineState.java
@@ -79,11 +79,17 @@
     prefilling.add(r);
   }
 
-  /** Takes a prefill off the engine; a finished one tells how fast the engine is. */
+  /**
+   * Takes a prefill off the engine. A finished one tells how fast the engine is, and so does one
+   * that was given up after its predicted end.
+   */
   void prefillEnded(Reservation r, long now, boolean finished) {
     boolean first = prefilling.peek() == r;
-    if (prefilling.remove(r) && finished && first) {
-      prefillPace.observe(now - prefillServingSinceNanos, r.nominalNanos);
+    if (prefilling.remove(r) && first) {
+      long age = now - prefillServingSinceNanos;
+      if (finished || age > r.nominalNanos * prefillPace.ratio()) {
+        prefillPace.observe(age, r.nominalNanos);
+      }
     }
     if (first) {
       prefillServingSinceNanos = now;
--- a/core/src/main/java/org/mustardlatch/core/routing/EntryRequest.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/EntryRequest.java
@@ -31,7 +31,11 @@
   int permissionAsks;
   boolean suspectRun;
   boolean hedged;
-  boolean crossed;
+  boolean askedRemote;
+
+  /** Bytes taken from the cross-region budget for an ask that is not granted yet. */
+  double crossingCost;
+
   int tokensSent;
   private int attempts;
 
@@ -65,6 +69,14 @@
     return Math.max(0, request.maxOutputTokens() - tokensSent);
   }
 
+  /** Forgets an attempt; the other one, if there is one, becomes the current one. */
+  void drop(Attempt a) {
+    if (a == current) {
+      current = hedge;
+    }
+    hedge = null;
+  }
+
   /** Returns the attempts in progress, the current one first. */
   List<Attempt> live() {
     Attempt a = current;
--- a/core/src/main/java/org/mustardlatch/core/routing/EntrySide.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/EntrySide.java
@@ -18,31 +18,19 @@
 import org.mustardlatch.core.peer.AdmissionMessage.ReserveRefused;
 import org.mustardlatch.core.peer.AdmissionMessage.Stage;
 import org.mustardlatch.core.peer.EvidenceMessage.RunPermission;
-import org.mustardlatch.core.peer.EvidenceMessage.RunRequest;
 import org.mustardlatch.core.quarantine.CrashEvidence;
 import org.mustardlatch.core.quarantine.CrashEvidence.Standing;
 import org.mustardlatch.core.routing.RequestTable.Found;
 
 /** The requests of this node's callers, from arrival to the one final answer. */
-final class EntrySide {
+final class EntrySide implements AttemptStarter.Ends {
   static final String TIMER = "request";
 
-  private static final long PERMISSION_TIMEOUT_NANOS = 100_000_000;
-  private static final long PERMISSION_WAIT_NANOS = 200_000_000;
-  private static final int MAX_PERMISSION_ASKS = 3;
-
   /** KV caches with less time left than this are not given to another decode engine. */
   private static final long MIN_KV_LIFE_NANOS = 150_000_000;
 
-  private static final long FIRST_RENEW_NANOS = 1_000_000_000;
-  private static final long RENEW_NANOS = 9_000_000_000L;
-  private static final int STALL_FACTOR = 10;
-  // Time to read what arrived during a pause, above all leaving notices, before new work starts.
-  private static final long SETTLE_NANOS = 200_000_000;
-  private static final int MAX_ATTEMPTS = 8;
-  private static final int MAX_LOCAL_CELLS = 2;
-  private static final int ANSWER_BYTES_PER_TOKEN = 5;
-  private static final Duration LATER = Duration.ofSeconds(1);
+  static final int MAX_ATTEMPTS = 8;
+  static final Duration LATER = Duration.ofSeconds(1);
 
   private final Effects fx;
   private final NodeSettings settings;
@@ -54,16 +42,14 @@
   private final CellChooser chooser;
   private final AttemptDriver driver;
   private final AttemptTimes times;
+  private final AttemptStarter starter;
   private final UnitBudget retries = new UnitBudget(10, 40);
   private final UnitBudget hedges = new UnitBudget(1, 5);
-  private final CrossRegionBudget crossing = new CrossRegionBudget();
+  private final Crossing crossing;
   private final RequestTable requests = new RequestTable();
   private Topology topology;
   private boolean draining;
 
-  /** Time before which no attempt starts, after a pause. */
-  private long settledNanos = Long.MIN_VALUE;
-
   EntrySide(
       CellAdmission.Environment env,
       EvidenceSide evidenceSide,
@@ -79,8 +65,10 @@
     this.times = new AttemptTimes(settings, region);
     this.spread = new RetrySpread(env.random());
     this.chooser = new CellChooser(region, env.random());
+    this.crossing = new Crossing(fx, settings, chooser);
     this.topology = topology;
     this.driver = new AttemptDriver(fx, topology);
+    this.starter = new AttemptStarter(env, evidenceSide, chooser, crossing, driver, region, this);
   }
 
   int size() {
@@ -98,6 +86,7 @@
   void topologyChanged(Topology next) {
     topology = next;
     driver.topologyChanged(next);
+    starter.topologyChanged(next);
     chooser.keep(next);
     Manifest manifest = settings.manifest();
     if (manifest != null) {
@@ -130,7 +119,7 @@
     } else {
       retries.earn(settings.limits().retryBudgetFraction());
       hedges.earn(settings.limits().hedgeBudgetFraction());
-      begin(q);
+      starter.begin(q);
     }
   }
 
@@ -142,127 +131,19 @@
     }
   }
 
-  // ---- starting attempts ----
-
-  /** Starts an attempt with a prefill, after the permission that a suspect needs. */
-  private void begin(EntryRequest q) {
-    long now = fx.now();
-    if (now < settledNanos) {
-      fx.explain(q.request.id(), "held_back", "this node reads what it missed in a pause");
-      fx.timer(TIMER, q.request.id().value(), settledNanos);
-      return;
-    }
-    if (now >= q.request.finalDeadlineNanos()) {
-      refuse(q, ErrorCode.DEADLINE_EXCEEDED, "the final deadline passed", Duration.ZERO);
-      return;
-    }
-    Standing standing = evidence.standing(q.request.fingerprint(), now);
-    if (standing == Standing.QUARANTINED) {
-      quarantined(q);
-    } else if (standing == Standing.SUSPECT && !q.permitted) {
-      askPermission(q);
-    } else {
-      attempt(q);
-    }
-  }
-
-  private void attempt(EntryRequest q) {
-    Cell cell = chooser.local(topology, q.request.model(), q.refusedCells);
-    if (cell == null || q.refusedCells.size() >= MAX_LOCAL_CELLS) {
-      cross(q, ErrorCode.UPSTREAM_UNAVAILABLE, LATER);
-      return;
-    }
-    launch(q, cell, null);
-  }
-
-  private void launch(EntryRequest q, Cell cell, @Nullable KvHandle inherited) {
-    Attempt a = new Attempt(q.nextAttempt(), cell, inherited);
-    q.current = a;
-    a.enter(Attempt.State.ASKING, fx.now());
-    if (driver.askNext(q, a)) {
-      arm(q);
-    } else {
-      q.current = null;
-      cellRefused(q, cell.name(), ErrorCode.UPSTREAM_UNAVAILABLE, LATER);
-    }
-  }
-
-  /** Asks the other region when the local cells refused, or gives up. */
-  private void cross(EntryRequest q, ErrorCode code, Duration retryAfter) {
-    Cell cell = chooser.remote(topology, q.request.model(), q.refusedCells, fx.now());
-    if (cell != null && q.attempts() < MAX_ATTEMPTS) {
-      double bytes =
-          q.request.promptBytes() + (double) ANSWER_BYTES_PER_TOKEN * q.remainingTokens();
-      if (crossing.take(bytes * settings.tuning().crossingCost(), fx.now())) {
-        fx.explain(q.request.id(), "cross_region", "cell=" + cell.name() + " bytes=" + bytes);
-        q.crossed = true;
-        launch(q, cell, null);
-        return;
-      }
-      fx.explain(q.request.id(), "cross_region_budget", "no budget for " + bytes + " bytes");
-    }
-    refuse(q, code, "no cell can meet the first-token deadline", retryAfter);
-  }
-
-  private void cellRefused(EntryRequest q, String cell, ErrorCode code, Duration retryAfter) {
-    q.refusedCells.add(cell);
-    boolean more =
-        q.refusedCells.size() < MAX_LOCAL_CELLS
-            && chooser.local(topology, q.request.model(), q.refusedCells) != null;
-    if (more) {
-      attempt(q);
-    } else {
-      cross(q, code, retryAfter);
-    }
-  }
-
-  private void askPermission(EntryRequest q) {
-    q.waitsForPermission = true;
-    List<HostId> owners = evidenceSide.owners(q.request.fingerprint());
-    if (owners.isEmpty() || q.permissionAsks >= MAX_PERMISSION_ASKS) {
-      // No owner answers; the admitting node still keeps suspects apart.
-      permitted(q);
-      return;
-    }
-    HostId owner = owners.get(q.permissionAsks % owners.size());
-    q.permissionAsks++;
-    fx.send(owner, new RunRequest(q.request.fingerprint(), q.request.id().value()));
-    fx.timer(TIMER, q.request.id().value(), fx.now() + PERMISSION_TIMEOUT_NANOS);
-  }
+  // ---- answers of admitting nodes ----
 
-  void permission(RunPermission answer) {
-    EntryRequest q = requests.byName(answer.attempt());
-    if (q != null && q.waitsForPermission) {
-      switch (answer.verdict()) {
-        case RUN -> permitted(q);
-        case QUARANTINED -> quarantined(q);
-        case WAIT -> {
-          q.permissionAsks = 0;
-          if (fx.now() >= q.request.firstTokenDeadlineNanos()) {
-            refuse(q, ErrorCode.OVERLOADED, "the same request is being examined", LATER);
-          } else {
-            fx.timer(TIMER, q.request.id().value(), fx.now() + PERMISSION_WAIT_NANOS);
-          }
-        }
-      }
+  /** Withdraws the ask of an attempt that is not needed because the other one was granted. */
+  private void keepOnly(EntryRequest q, Attempt granted) {
+    Attempt other = granted == q.current ? q.hedge : q.current;
+    if (other != null && !other.granted()) {
+      driver.cancel(other, Outcome.CANCELLED, false);
+      q.current = granted;
+      q.hedge = null;
     }
+    q.crossingCost = 0;
   }
 
-  private void permitted(EntryRequest q) {
-    q.waitsForPermission = false;
-    q.permitted = true;
-    q.suspectRun = true;
-    fx.explain(q.request.id(), "suspect_permitted", "one attempt after a crash");
-    attempt(q);
-  }
-
-  private void quarantined(EntryRequest q) {
-    String detail = "its content was on two engines that crashed";
-    refuse(q, ErrorCode.REQUEST_QUARANTINED, detail, Duration.ZERO);
-  }
-
-  // ---- answers of admitting nodes ----
-
   void summary(CellSummary summary) {
     chooser.learn(summary, fx.now());
   }
@@ -290,6 +171,7 @@
     String detail = "cell=" + a.cell.name() + " prefill=" + grant.prefill();
     fx.explain(q.request.id(), "reserved", detail + " decode=" + grant.decode());
     q.refusedCells.clear();
+    keepOnly(q, a);
     driver.start(q, a, from, grant);
     arm(q);
   }
@@ -302,6 +184,7 @@
       if (a.state != Attempt.State.QUEUED) {
         a.enter(Attempt.State.QUEUED, fx.now());
         fx.explain(q.request.id(), "queued", "at " + from);
+        starter.askRemoteToo(q, a, answer.predictedWaitNanos());
       }
       arm(q);
     }
@@ -314,13 +197,21 @@
       return;
     }
     Duration after = Duration.ofNanos(answer.retryAfterNanos());
+    if (!a.cell.region().equals(region)) {
+      crossing.refused(q);
+    }
     if (a == q.hedge) {
       q.hedge = null;
       return;
     }
-    q.current = null;
+    q.current = q.hedge;
+    q.hedge = null;
+    if (q.current != null) {
+      q.refusedCells.add(a.cell.name());
+      return;
+    }
     if (answer.code() == ErrorCode.REQUEST_QUARANTINED) {
-      quarantined(q);
+      starter.quarantined(q);
       return;
     }
     fx.explain(q.request.id(), "cell_refused", a.cell.name() + " " + answer.code().wireName());
@@ -329,7 +220,7 @@
       retry(q, Failure.KV_EXPIRED);
       return;
     }
-    cellRefused(q, a.cell.name(), answer.code(), after);
+    starter.cellRefused(q, a.cell.name(), answer.code(), after);
   }
 
   // ---- events of upstreams ----
@@ -381,6 +272,7 @@
     if (requests.find(id) instanceof Found(EntryRequest q, Attempt a)
         && a.state == Attempt.State.TRANSFER) {
       a.enter(Attempt.State.DECODE, fx.now());
+      DecodeWatch.begin(q, a, fx.now());
       driver.renew(q, a, Stage.DECODE);
       arm(q);
     }
@@ -457,7 +349,7 @@
       arm(q);
     } else if (reuse && handle != null) {
       fx.explain(q.request.id(), "decode_reassigned", "KV cache of " + handle.source());
-      launch(q, a.cell, handle);
+      starter.launch(q, a.cell, handle);
     } else {
       retry(q, failure);
     }
@@ -490,7 +382,14 @@
     } else {
       String rule = q.tokensSent > 0 ? "continued" : "retried";
       fx.explain(q.request.id(), rule, "after " + failure + ", tokens=" + q.tokensSent);
-      begin(q);
+      starter.begin(q);
+    }
+  }
+
+  void permission(RunPermission answer) {
+    EntryRequest q = requests.byName(answer.attempt());
+    if (q != null) {
+      starter.permission(q, answer.verdict());
     }
   }
 
@@ -513,12 +412,12 @@
       if (q.tokensSent == 0 && now >= q.request.firstTokenDeadlineNanos()) {
         refuse(q, ErrorCode.OVERLOADED, "the same request is being examined", LATER);
       } else {
-        askPermission(q);
+        starter.askPermission(q);
       }
       return;
     }
     if (q.current == null) {
-      begin(q);
+      starter.begin(q);
       return;
     }
     for (Attempt a : q.live()) {
@@ -547,7 +446,13 @@
           failed(q, a, a.decode, Failure.STALLED);
         }
       }
-      case DECODE -> checkDecode(q, a);
+      case DECODE -> {
+        switch (DecodeWatch.look(q, a, now)) {
+          case FINE -> {}
+          case RENEW -> driver.renew(q, a, Stage.DECODE);
+          case STALLED -> failed(q, a, a.decode, Failure.STALLED);
+        }
+      }
     }
   }
 
@@ -563,7 +468,7 @@
     }
     q.current = null;
     fx.explain(q.request.id(), "no_admitting_node", "cell=" + a.cell.name());
-    cellRefused(q, a.cell.name(), ErrorCode.UPSTREAM_UNAVAILABLE, LATER);
+    starter.cellRefused(q, a.cell.name(), ErrorCode.UPSTREAM_UNAVAILABLE, LATER);
   }
 
   private void checkQueued(EntryRequest q, Attempt a) {
@@ -584,21 +489,38 @@
     if (now > times.latestUseful(q, a)) {
       fx.explain(q.request.id(), "prefill_late", "cancelled before decode");
       refuse(q, ErrorCode.DEADLINE_EXCEEDED, "prefill took too long", LATER);
-    } else if (!a.extended && now >= AttemptTimes.hedgeAt(a)) {
+    } else if (!a.extended && now >= times.lateAt(a)) {
       a.extended = true;
       driver.renew(q, a, Stage.PREFILL);
-      hedge(q, a);
+      boolean inTime = now + a.predictedNanos() < q.request.firstTokenDeadlineNanos();
+      if (a == q.current && q.hedge == null && q.tokensSent == 0 && inTime) {
+        if (settings.tuning().hedges()) {
+          hedge(q, a);
+        } else {
+          move(q, a);
+        }
+      }
     }
   }
 
-  /** Starts a second attempt for a late prefill when another engine can still be in time. */
-  private void hedge(EntryRequest q, Attempt a) {
-    long predicted = a.predictedNanos();
-    boolean inTime = fx.now() + predicted < q.request.firstTokenDeadlineNanos();
-    if (!settings.tuning().hedges() || q.hedged || q.tokensSent > 0 || !inTime) {
+  /** Cancels a late prefill and starts it elsewhere, which wastes less than running it twice. */
+  private void move(EntryRequest q, Attempt a) {
+    if (q.hedged || !retries.take()) {
       return;
     }
-    if (a != q.current || a.prefill == null || !hedges.take()) {
+    q.hedged = true;
+    fx.explain(q.request.id(), "late_prefill_moved", "from " + a.prefill);
+    if (a.prefill != null) {
+      q.excluded.add(a.prefill);
+    }
+    driver.cancel(a, Outcome.CANCELLED, false);
+    q.current = null;
+    starter.begin(q);
+  }
+
+  /** Starts a second attempt for a late prefill when another engine can still be in time. */
+  private void hedge(EntryRequest q, Attempt a) {
+    if (q.hedged || a.prefill == null || !hedges.take()) {
       return;
     }
     q.hedged = true;
@@ -611,22 +533,8 @@
     }
   }
 
-  private void checkDecode(EntryRequest q, Attempt a) {
-    long now = fx.now();
-    long gap = a.cell.model().tokenGapTarget().toNanos();
-    if (now - a.progressNanos >= Math.max(AttemptTimes.MIN_STALL_NANOS, STALL_FACTOR * gap)) {
-      failed(q, a, a.decode, Failure.STALLED);
-      return;
-    }
-    long interval = a.extended ? RENEW_NANOS : FIRST_RENEW_NANOS;
-    boolean slow = now - a.progressNanos >= 3 * gap;
-    if (now - a.renewedNanos >= interval || (slow && now - a.renewedNanos >= FIRST_RENEW_NANOS)) {
-      a.extended = true;
-      driver.renew(q, a, Stage.DECODE);
-    }
-  }
-
-  private void arm(EntryRequest q) {
+  @Override
+  public void arm(EntryRequest q) {
     if (q.live().isEmpty()) {
       // It waits for a permission or for the end of a pause, which set their own timer.
       return;
@@ -642,7 +550,7 @@
 
   /** Cancels all attempts, which other nodes may have reclaimed, and starts afresh. */
   void fence() {
-    settledNanos = fx.now() + SETTLE_NANOS;
+    starter.settle();
     for (EntryRequest q : requests.all()) {
       for (Attempt a : q.live()) {
         driver.cancel(a, Outcome.CANCELLED, false);
@@ -654,25 +562,29 @@
       if (late) {
         refuse(q, ErrorCode.DEADLINE_EXCEEDED, "the node was paused", LATER);
       } else if (!q.waitsForPermission) {
-        begin(q);
+        starter.begin(q);
       }
     }
   }
 
   /** Replaces the asks that were made before a pause, so that old grants are not used. */
   void askAfresh() {
-    settledNanos = fx.now() + SETTLE_NANOS;
+    starter.settle();
     for (EntryRequest q : requests.all()) {
-      Attempt a = q.current;
-      if (a != null && !a.granted() && a.inherited == null) {
-        driver.cancel(a, Outcome.CANCELLED, false);
-        q.current = null;
-        begin(q);
+      for (Attempt a : q.live()) {
+        if (!a.granted() && a.inherited == null) {
+          driver.cancel(a, Outcome.CANCELLED, false);
+          q.drop(a);
+        }
+      }
+      if (q.live().isEmpty() && !q.waitsForPermission) {
+        starter.begin(q);
       }
     }
   }
 
-  private void refuse(EntryRequest q, ErrorCode code, String detail, Duration retryAfter) {
+  @Override
+  public void refuse(EntryRequest q, ErrorCode code, String detail, Duration retryAfter) {
     fx.explain(q.request.id(), "refused_" + code.wireName(), detail);
     fx.emit(new RoutingCommand.Refuse(q.request.id(), code, detail, retryAfter));
     close(q, Outcome.CANCELLED);
--- a/core/src/main/java/org/mustardlatch/core/routing/Placer.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/Placer.java
@@ -14,6 +14,7 @@
   static final long LOOKAHEAD_NANOS = 30_000_000;
   private static final double STRAGGLER_RATIO = 3;
   private static final double SLOW_RATIO = 1.5;
+  private static final double PROBE_BUDGET_SHARE = 0.2;
   private static final long MEDIAN_AGE_NANOS = 50_000_000;
 
   private final Cell cell;
@@ -71,12 +72,20 @@
     EngineState best = null;
     double bestFinish = Double.MAX_VALUE;
     long bestNominal = 0;
+    double waiting = finishAfterWaiting(ask, now);
     for (EngineState e : prefills) {
       if (!prefillRoom(e, ask, suspect, now)) {
         continue;
       }
       long nominal = e.nominalPrefillNanos(ask.promptTokens(), ask.prefixBlocks());
-      double finish = e.backlogNanos(now) + nominal * e.prefillRatio(now);
+      double ratio = e.prefillRatio(now);
+      double finish = e.backlogNanos(now) + nominal * ratio;
+      boolean slow = ratio > SLOW_RATIO * medianPrefill && finish > waiting;
+      if (isStraggler(ratio, medianPrefill) && isProbe(e, ask, ratio, nominal, now)) {
+        finish = 0;
+      } else if (slow) {
+        continue;
+      }
       if (finish < bestFinish) {
         best = e;
         bestFinish = finish;
@@ -90,7 +99,7 @@
     if (d == null) {
       return null;
     }
-    long finish = (long) bestFinish;
+    long finish = best.backlogNanos(now) + (long) (bestNominal * best.prefillRatio(now));
     long first = finish + (d == best ? 0 : afterPrefill(ask, d, link));
     return new Placement(best, d, bestNominal, finish, first);
   }
@@ -102,12 +111,31 @@
     if (e.freeSlots() == 0 || !e.hasMemory(ask.prefillPieces()) || (suspect && e.suspects > 0)) {
       return false;
     }
-    if (isStraggler(e.prefillRatio(now), medianPrefill)) {
-      return e.prefilling.isEmpty() && e.probes.due(now);
-    }
     return e.backlogNanos(now) <= LOOKAHEAD_NANOS;
   }
 
+  /** Returns the predicted end of the prefill if it waits for an engine of normal speed. */
+  private double finishAfterWaiting(Ask ask, long now) {
+    double best = Double.MAX_VALUE;
+    for (EngineState e : prefills) {
+      double ratio = e.prefillRatio(now);
+      if (e.usable(leaving, now) && ratio <= SLOW_RATIO * medianPrefill) {
+        long nominal = e.nominalPrefillNanos(ask.promptTokens(), ask.prefixBlocks());
+        best = Math.min(best, e.backlogNanos(now) + nominal * ratio);
+      }
+    }
+    return best;
+  }
+
+  /**
+   * Returns whether a request is to probe this straggler and meets its deadline there with ease.
+   */
+  private static boolean isProbe(EngineState e, Ask ask, double ratio, long nominal, long now) {
+    return e.prefilling.isEmpty()
+        && nominal * ratio <= PROBE_BUDGET_SHARE * ask.budgetNanos()
+        && e.probes.due(now);
+  }
+
   private @Nullable EngineState decode(
       Ask ask,
       @Nullable EngineState prefill,
@@ -126,10 +154,12 @@
         continue;
       }
       double slowness = slowness(e);
-      if (slowness > STRAGGLER_RATIO && !e.probes.due(now)) {
+      boolean straggler = slowness > STRAGGLER_RATIO;
+      if (straggler && (e.heldSlots > 0 || !e.probes.due(now))) {
+        // The streams that it has tell when it recovers.
         continue;
       }
-      double score = score(e, ask, prefill, link, slowness);
+      double score = straggler ? 0 : score(e, ask, prefill, link, slowness);
       if (score < bestScore) {
         best = e;
         bestScore = score;
