--- a/core/src/main/java/org/mustardlatch/core/ledger/KeyedRequest.java
+++ b/core/src/main/java/org/mustardlatch/core/ledger/KeyedRequest.java
@@ -53,7 +53,10 @@
             attempt.key(), attempt.nonce(), RecordState.UNKNOWN, 0, null);
   }
 
-  /** Returns whether the caller was answered and nothing of this request is left to do here. */
+  /**
+   * Returns whether the caller was answered and the record needs nothing more from this request. An
+   * answer to a start that comes later is a case for {@link LedgerNode}.
+   */
   public boolean done() {
     return step == Step.DONE && replied;
   }
@@ -113,9 +116,6 @@
       out.accept(new KeyedCommand.Dispatch());
     } else if (step == Step.STARTING) {
       cancel(nowNanos, out);
-    } else if (step == Step.DONE && !dispatched) {
-      // The other path created the record after this request was answered from elsewhere.
-      out.accept(new KeyedCommand.CancelDirectly(attempt, false));
     }
   }
 
--- a/daemon/src/main/java/org/mustardlatch/daemon/log/LogEvent.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/log/LogEvent.java
@@ -21,7 +21,7 @@
   REGION_REACHABLE(3007, Level.INFO, "region {} is reachable again"),
   NODE_FENCED(3008, Level.WARN, "this node was paused for {} ms, its incarnation is now {}"),
   MANIFEST_APPLIED(4001, Level.INFO, "manifest revision {} with digest {} is in force"),
-  MANIFEST_REFUSED(4002, Level.WARN, "manifest refused with {} findings"),
+  MANIFEST_REFUSED(4002, Level.WARN, "manifest refused: {}"),
   MANIFEST_ACCEPTED(4010, Level.INFO, "published manifest revision {} is accepted"),
   CONFIGURATION_READY(4011, Level.INFO, "configuration is ready with revision {}"),
   MANIFEST_UNUSABLE(4012, Level.ERROR, "manifest revision {} from a peer can't be used"),
