--- a/core/src/test/java/org/mustardlatch/core/ledger/FakeStore.java
+++ b/core/src/test/java/org/mustardlatch/core/ledger/FakeStore.java
@@ -24,7 +24,7 @@
   private long slowUntil;
   private boolean faulty = true;
 
-  private record Stored(String version, @Nullable JsonNode content) {}
+  record Stored(String version, @Nullable JsonNode content) {}
 
   FakeStore(VirtualTimerService time, RandomGenerator random) {
     this.time = time;
--- a/wire/src/test/java/org/mustardlatch/wire/bench/BenchFleet.java
+++ b/wire/src/test/java/org/mustardlatch/wire/bench/BenchFleet.java
@@ -7,6 +7,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -29,6 +30,7 @@
 final class BenchFleet implements AutoCloseable {
   private static final int ZONES = 7;
   private static final int ZONES_OF_FIRST_REGION = 4;
+  private static final int ROUNDS_PER_SECOND = 4;
   private static final long MAX_MILLIS = 600_000;
 
   private final int size;
@@ -63,6 +65,8 @@
     pause(5_000);
     progress("steady phase");
     final BenchResult.Phase steady = measure(() -> pause(options.steadySeconds * 1_000L));
+    progress("requests");
+    final BenchResult.Phase loaded = measure(this::requests);
     progress("configuration changes");
     final BenchResult.Phase changing = measure(this::changes);
     progress("kills");
@@ -72,6 +76,7 @@
         size,
         joinSeconds,
         steady,
+        loaded,
         changing,
         spread,
         detection,
@@ -100,7 +105,7 @@
         new PeerNode(
             new PeerNodeOptions(
                 new HostId(name),
-                new RegionId(zone < ZONES_OF_FIRST_REGION ? "r0" : "r1"),
+                new RegionId(inFirstRegion(i) ? "r0" : "r1"),
                 new ZoneId("z" + zone),
                 System.currentTimeMillis(),
                 new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
@@ -122,6 +127,44 @@
     }
   }
 
+  /** Each node asks other nodes of its region for reservations, as an entry node does. */
+  private void requests() throws InterruptedException {
+    List<List<HostId>> targets = new ArrayList<>();
+    for (int i = 0; i < size; i++) {
+      targets.add(targets(i));
+      PeerNode node = nodes.get(i);
+      recorders.get(i).reply = node::send;
+    }
+    int rounds = options.steadySeconds * ROUNDS_PER_SECOND;
+    long start = System.nanoTime();
+    for (int round = 1; round <= rounds; round++) {
+      for (int i = 0; i < size; i++) {
+        List<HostId> of = targets.get(i);
+        for (int k = 0; k < options.requestsPerSecond / ROUNDS_PER_SECOND; k++) {
+          HostId to = of.get(random.nextInt(of.size()));
+          nodes.get(i).send(to, BenchMessages.reserve(random.nextLong(1L << 40)));
+        }
+      }
+      long due = start + round * (TimeUnit.SECONDS.toNanos(1) / ROUNDS_PER_SECOND);
+      pause(Math.max(0, (due - System.nanoTime()) / 1_000_000));
+    }
+  }
+
+  private List<HostId> targets(int i) {
+    List<Integer> others = new ArrayList<>();
+    for (int k = 0; k < size; k++) {
+      if (k != i && inFirstRegion(k) == inFirstRegion(i)) {
+        others.add(k);
+      }
+    }
+    Collections.shuffle(others, random);
+    return others.stream().limit(options.partners).map(k -> new HostId("n" + k)).toList();
+  }
+
+  private static boolean inFirstRegion(int i) {
+    return i % ZONES < ZONES_OF_FIRST_REGION;
+  }
+
   private void changes() throws InterruptedException {
     for (int c = 1; c <= options.changes; c++) {
       publishedRevision = c;
--- a/wire/src/test/java/org/mustardlatch/wire/bench/BenchNode.java
+++ b/wire/src/test/java/org/mustardlatch/wire/bench/BenchNode.java
@@ -1,9 +1,12 @@
 package org.mustardlatch.wire.bench;
 
+import java.util.List;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BiConsumer;
 import org.mustardlatch.core.membership.MemberList;
 import org.mustardlatch.core.model.HostId;
+import org.mustardlatch.core.peer.AdmissionMessage;
 import org.mustardlatch.core.peer.PeerMessage;
 import org.mustardlatch.wire.PeerNodeListener;
 
@@ -11,7 +14,8 @@
 final class BenchNode implements PeerNodeListener {
   private final AtomicLong errors;
   private final BiConsumer<Long, Long> applied;
-  private volatile MemberList members = new MemberList(java.util.List.of(), java.util.Set.of());
+  private volatile MemberList members = new MemberList(List.of(), Set.of());
+  volatile BiConsumer<HostId, PeerMessage> reply = (to, message) -> {};
   volatile long membersChangedNanos;
   volatile int suspicions;
 
@@ -61,8 +65,15 @@
   @Override
   public void ready(long revision) {}
 
+  /** Plays the admitting node and the entry node of a request: grant, then release. */
   @Override
-  public void received(HostId from, long incarnation, PeerMessage message) {}
+  public void received(HostId from, long incarnation, PeerMessage message) {
+    switch (message) {
+      case AdmissionMessage.Reserve m -> reply.accept(from, BenchMessages.granted(m));
+      case AdmissionMessage.ReserveGranted m -> reply.accept(from, BenchMessages.release(m));
+      default -> {}
+    }
+  }
 
   @Override
   public void unexpected(Throwable error) {
--- a/wire/src/test/java/org/mustardlatch/wire/bench/BenchOptions.java
+++ b/wire/src/test/java/org/mustardlatch/wire/bench/BenchOptions.java
@@ -16,6 +16,12 @@
   @Option(name = "--steady-seconds", usage = "length of the phase without changes")
   int steadySeconds = 20;
 
+  @Option(name = "--requests-per-second", usage = "requests per node while loaded")
+  int requestsPerSecond = 16;
+
+  @Option(name = "--partners", usage = "nodes that each node asks for reservations")
+  int partners = 24;
+
   @Option(name = "--changes", usage = "configuration changes, one every three seconds")
   int changes = 5;
 
--- a/wire/src/test/java/org/mustardlatch/wire/bench/BenchResult.java
+++ b/wire/src/test/java/org/mustardlatch/wire/bench/BenchResult.java
@@ -9,6 +9,7 @@
  * Figures of one fleet size; rates are per node.
  *
  * @param steady figures without configuration changes
+ * @param loaded figures while each node asks others for reservations
  * @param changing figures with a configuration change every three seconds
  * @param spread time from a publish until the revision is in force, over all nodes and changes, ms
  * @param detection time from a kill until a node dropped the victim, over all nodes and kills, ms
@@ -17,6 +18,7 @@
     int nodes,
     double joinSeconds,
     Phase steady,
+    Phase loaded,
     Phase changing,
     Histogram spread,
     Histogram detection,
@@ -71,6 +73,8 @@
 
   String rows() {
     return steady.row(nodes, "steady")
+        + "\n"
+        + loaded.row(nodes, "requests")
         + "\n"
         + changing.row(nodes, "changes")
         + String.format(
@@ -94,6 +98,7 @@
     all.put("nodes", nodes);
     all.put("join_s", joinSeconds);
     all.put("steady", steady.toMap());
+    all.put("requests", loaded.toMap());
     all.put("changing", changing.toMap());
     all.put("in_force_ms", percentiles(spread));
     all.put("detection_ms", percentiles(detection));
