--- a/replay/src/main/java/org/mustardlatch/replay/PrefillSide.java
+++ b/replay/src/main/java/org/mustardlatch/replay/PrefillSide.java
@@ -24,15 +24,12 @@
   /** Fixed cost of a prefill besides its tokens. */
   private static final long OVERHEAD_NANOS = 5_000_000;
 
-  /** 400 blocks of 256 tokens hold about 100,000 tokens. */
-  private static final int CACHED_BLOCKS = 400;
-
   private final Upstream upstream;
   private final long kvBytesPerToken;
   private final TimerService timers;
   private final PrefillAccount account;
   private final EngineMemory memory;
-  private final PrefixCache cache = new PrefixCache(CACHED_BLOCKS);
+  private final PrefixCache cache;
   private final Deque<EngineWork> queue = new ArrayDeque<>();
   private final Map<String, Export> exports = new LinkedHashMap<>();
   private @Nullable Running running;
@@ -49,6 +46,7 @@
     this.timers = timers;
     this.account = account;
     this.memory = memory;
+    this.cache = PrefixCache.within(upstream.memoryPieces());
   }
 
   void slowDown(double factor) {
--- a/replay/src/main/java/org/mustardlatch/replay/PrefixCache.java
+++ b/replay/src/main/java/org/mustardlatch/replay/PrefixCache.java
@@ -16,6 +16,11 @@
     this.maxBlocks = maxBlocks;
   }
 
+  /** Returns a cache as large as this much KV memory, pieces of 1,000 tokens. */
+  static PrefixCache within(int memoryPieces) {
+    return new PrefixCache(memoryPieces * 1000 / BLOCK_TOKENS);
+  }
+
   /** Returns how many leading tokens of a prompt with these blocks are cached. */
   int cachedTokens(List<Long> prompt) {
     int hits = 0;
