--- a/core/src/main/java/org/mustardlatch/core/routing/CellAdmission.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/CellAdmission.java
@@ -40,8 +40,13 @@
   /** How long a reservation in decode lasts without a renewal, nanoseconds. */
   static final long DECODE_VALID_NANOS = 20_000_000_000L;
 
-  private static final int QUEUE_LOOK_AHEAD = 8;
+  // Every answer carries a summary; in a burst they need not be computed anew.
+  private static final long SUMMARY_AGE_NANOS = 2_000_000;
+
+  private static final int QUEUE_LOOK_AHEAD = 4;
   private static final long CRASH_BLOCK_NANOS = 3_000_000_000L;
+  // An engine that keeps failing is tried again after 1 s, 2 s, 4 s and so on up to 16 s.
+  private static final int MAX_DOUBLINGS = 4;
   private static final long FAILURE_BLOCK_NANOS = 1_000_000_000L;
   private static final long REFUSAL_BLOCK_NANOS = 150_000_000L;
   // Only until departures were observed: a slot is held for about 10 s.
@@ -70,6 +75,8 @@
   private Placer placer;
   private final LeavingUpstreams leaving;
   private final long handoverUntilNanos;
+  private @Nullable CellSummary summary;
+  private long summaryNanos;
   private long idleSinceNanos;
 
   CellAdmission(Cell cell, Environment env, CrashListener crashes, LeavingUpstreams leaving) {
@@ -105,9 +112,17 @@
     return queue.size();
   }
 
+  /** Returns the capacity of the cell, at most {@link #SUMMARY_AGE_NANOS} old. */
   CellSummary summary() {
-    int free = Math.max(0, placer.freeDecodeSlots(fx.now()) - queue.size());
-    return new CellSummary(cell.name(), free, predictedWait(null));
+    long now = fx.now();
+    CellSummary known = summary;
+    if (known == null || now - summaryNanos >= SUMMARY_AGE_NANOS) {
+      int free = Math.max(0, placer.freeDecodeSlots(now) - queue.size());
+      known = new CellSummary(cell.name(), free, predictedWait(null));
+      summary = known;
+      summaryNanos = now;
+    }
+    return known;
   }
 
   /** Answers an ask with a grant, a place in the queue or a refusal; a repeated one likewise. */
@@ -165,6 +180,9 @@
       moveAdopted(r, renew);
     }
     if (renew.stage() == Stage.TRANSFER && r.stage == Stage.PREFILL) {
+      if (r.prefill != null) {
+        r.prefill.failures = 0;
+      }
       prefillEnded(r, true);
       enter(r, Stage.TRANSFER);
     } else if (renew.stage() == Stage.DECODE && r.stage != Stage.DECODE) {
@@ -272,6 +290,12 @@
         free(r, false);
       }
     }
+    for (Ask ask : queue.all()) {
+      if (now >= ask.firstTokenDeadlineNanos()) {
+        queue.remove(ask.attempt());
+        refuseOverloaded(ask);
+      }
+    }
     pump();
   }
 
@@ -283,7 +307,7 @@
 
   private void pump() {
     boolean progress = true;
-    while (progress && queue.size() > 0) {
+    while (progress && queue.size() > 0 && placer.mayHaveRoom(fx.now())) {
       progress = false;
       for (Ask ask : queue.first(QUEUE_LOOK_AHEAD)) {
         Result result = tryGrant(ask);
@@ -292,7 +316,7 @@
           progress = true;
           break;
         }
-        if (result == Result.TOO_LATE || fx.now() >= ask.firstTokenDeadlineNanos()) {
+        if (result == Result.TOO_LATE) {
           queue.remove(ask.attempt());
           refuseOverloaded(ask);
           progress = true;
@@ -484,7 +508,8 @@
       case REFUSED ->
           e.blockedUntilNanos = Math.max(e.blockedUntilNanos, now + REFUSAL_BLOCK_NANOS);
       case FAILED -> {
-        e.blockedUntilNanos = Math.max(e.blockedUntilNanos, now + FAILURE_BLOCK_NANOS);
+        e.block(now, FAILURE_BLOCK_NANOS << Math.min(MAX_DOUBLINGS, e.failures));
+        e.failures++;
         if (r != null && r.stage == Stage.TRANSFER) {
           link.congested(now);
         }
@@ -495,7 +520,7 @@
 
   private void crashed(EngineState e, @Nullable Reservation reporting) {
     long now = fx.now();
-    e.blockedUntilNanos = Math.max(e.blockedUntilNanos, now + CRASH_BLOCK_NANOS);
+    e.block(now, CRASH_BLOCK_NANOS);
     e.prefixes.clear();
     e.unaccounted = 0;
     if (reporting == null || reporting.inCrashOf == e) {
@@ -556,7 +581,7 @@
 
   private void refuseOverloaded(Ask ask) {
     long budget = Math.max(1, ask.budgetNanos());
-    Duration after = spread.draw(predictedWait(null), budget);
+    Duration after = spread.draw(summary().predictedWaitNanos(), budget);
     boolean none = placer.usableDecodeSlots(fx.now()) == 0;
     refuse(ask, none ? ErrorCode.UPSTREAM_UNAVAILABLE : ErrorCode.OVERLOADED, after);
   }
@@ -566,7 +591,8 @@
   }
 
   private void sendQueued(Ask ask) {
-    fx.send(ask.from(), new ReserveQueued(ask.attempt(), predictedWait(null), summary()));
+    fx.send(
+        ask.from(), new ReserveQueued(ask.attempt(), summary().predictedWaitNanos(), summary()));
   }
 
   private void sendGrant(Reservation r) {
--- a/core/src/main/java/org/mustardlatch/core/routing/EngineState.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/EngineState.java
@@ -11,7 +11,8 @@
   private static final long PREFILL_OVERHEAD_NANOS = 4_000_000;
   // A prefill past its predicted end is expected to take this share of its age on top.
   private static final double OVERDUE_SHARE = 0.3;
-  private static final int PREFIX_BLOCKS = 4096;
+  private static final int TOKENS_PER_PIECE = 1000;
+  private static final int MIN_PREFIX_BLOCKS = 64;
 
   /** The engine as the manifest in force states it. */
   Upstream upstream;
@@ -19,7 +20,7 @@
   final Pace prefillPace = new Pace();
   final Pace transferPace = new Pace();
   final Pace tokenPace = new Pace();
-  final PrefixIndex prefixes = new PrefixIndex(PREFIX_BLOCKS);
+  final PrefixIndex prefixes;
   final ProbeGate probes = new ProbeGate();
 
   /** Prefills granted and not known to have ended, oldest first. */
@@ -38,16 +39,27 @@
   /** Time before which no work is sent, after a crash or a refusal. */
   long blockedUntilNanos = Long.MIN_VALUE;
 
+  /** Failures since the engine last finished something. */
+  int failures;
+
   private long prefillServingSinceNanos;
 
   EngineState(Upstream upstream) {
     this.upstream = upstream;
+    // Cached prefixes lie in the KV memory of the engine, so they can't be more than it holds.
+    int blocks = upstream.memoryPieces() * TOKENS_PER_PIECE / PrefixIndex.BLOCK_TOKENS;
+    this.prefixes = new PrefixIndex(Math.max(MIN_PREFIX_BLOCKS, blocks));
   }
 
   boolean usable(LeavingUpstreams leaving, long now) {
     return !upstream.leaving() && now >= blockedUntilNanos && !leaving.contains(upstream.id(), now);
   }
 
+  /** Sends no work for a while. */
+  void block(long now, long durationNanos) {
+    blockedUntilNanos = Math.max(blockedUntilNanos, now + durationNanos);
+  }
+
   int freeSlots() {
     return Math.max(0, upstream.slots() - heldSlots - unaccounted);
   }
--- a/core/src/main/java/org/mustardlatch/core/routing/FairQueue.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/FairQueue.java
@@ -20,6 +20,7 @@
   private final Map<WorkspaceId, Double> lastFinish = new HashMap<>();
   private double virtualTime;
   private long arrivals;
+  private long tokens;
 
   /** A request in the queue. */
   static final class Waiting {
@@ -46,6 +47,7 @@
     Waiting w = new Waiting(ask, start, arrivals++);
     byAttempt.put(ask.attempt(), w);
     byStart.add(w);
+    tokens += ask.promptTokens();
   }
 
   /** Returns the requests that would be served next, at most {@code count}. */
@@ -78,6 +80,7 @@
     Waiting w = byAttempt.remove(attempt);
     if (w != null) {
       byStart.remove(w);
+      tokens -= w.ask.promptTokens();
     }
     return w;
   }
@@ -105,11 +108,7 @@
 
   /** Returns the prompt tokens of all requests in the queue. */
   long tokensWaiting() {
-    long sum = 0;
-    for (Waiting w : byStart) {
-      sum += w.ask.promptTokens();
-    }
-    return sum;
+    return tokens;
   }
 
   /** Returns the requests in the order in which they would be served. */
--- a/core/src/main/java/org/mustardlatch/core/routing/LeavingUpstreams.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/LeavingUpstreams.java
@@ -42,7 +42,7 @@
   }
 
   boolean contains(UpstreamId upstream, long now) {
-    Sign sign = signs.get(upstream);
+    Sign sign = signs.isEmpty() ? null : signs.get(upstream);
     return sign != null && now < sign.untilNanos;
   }
 
--- a/core/src/main/java/org/mustardlatch/core/routing/Placer.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/Placer.java
@@ -61,6 +61,23 @@
     return decodes;
   }
 
+  /** Returns whether some prefill engine and some decode engine have room, cheaply. */
+  boolean mayHaveRoom(long now) {
+    for (EngineState d : decodes) {
+      if (d.freeSlots() > 0 && d.usable(leaving, now)) {
+        for (EngineState p : prefills) {
+          if (p.freeSlots() > 0
+              && p.backlogNanos(now) <= LOOKAHEAD_NANOS
+              && p.usable(leaving, now)) {
+            return true;
+          }
+        }
+        return false;
+      }
+    }
+    return false;
+  }
+
   /** Returns the best choice that has room now, or null. */
   @Nullable Placement place(
       Ask ask, boolean suspect, LinkEstimate link, boolean handover, long now) {
@@ -72,7 +89,7 @@
     EngineState best = null;
     double bestFinish = Double.MAX_VALUE;
     long bestNominal = 0;
-    double waiting = finishAfterWaiting(ask, now);
+    double waiting = -1;
     for (EngineState e : prefills) {
       if (!prefillRoom(e, ask, suspect, now)) {
         continue;
@@ -80,11 +97,13 @@
       long nominal = e.nominalPrefillNanos(ask.promptTokens(), ask.prefixBlocks());
       double ratio = e.prefillRatio(now);
       double finish = e.backlogNanos(now) + nominal * ratio;
-      boolean slow = ratio > SLOW_RATIO * medianPrefill && finish > waiting;
       if (isStraggler(ratio, medianPrefill) && isProbe(e, ask, ratio, nominal, now)) {
         finish = 0;
-      } else if (slow) {
-        continue;
+      } else if (ratio > SLOW_RATIO * medianPrefill) {
+        waiting = waiting < 0 ? finishAfterWaiting(ask, now) : waiting;
+        if (finish > waiting) {
+          continue;
+        }
       }
       if (finish < bestFinish) {
         best = e;
