Test the parts of routing and give mixed engines one slot for both halves

Cause: a mixed engine that did prefill and decode of one request took the pieces of the prompt and gave back those of prompt and answer.

--- a/core/src/main/java/org/mustardlatch/core/routing/CellAdmission.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/CellAdmission.java
@@ -379,7 +379,8 @@
     if (prefill == null) {
       r.stage = Stage.TRANSFER;
     } else {
-      hold(prefill, r, r.prefillPieces);
+      // On a mixed engine that does both, prompt and answer share one slot and one allocation.
+      hold(prefill, r, prefill == p.decode() ? r.decodePieces : r.prefillPieces);
       r.prefill = prefill;
       r.source = prefill.upstream.id();
       prefill.prefixes.add(ask.prefixBlocks());
@@ -395,7 +396,7 @@
       hold(p.decode(), r, r.decodePieces);
     }
     r.decode = p.decode();
-    p.decode().handoverGrants++;
+    p.decode().grantedSlots++;
     if (placer.isProbe(p.decode(), now)) {
       p.decode().probes.sent(now);
     }
@@ -456,6 +457,7 @@
     }
     if (r.decode != null) {
       letGo(r.decode, r, r.decodePieces);
+      r.decode.grantedSlots -= r.source == null ? 0 : 1;
       r.decode = null;
       if (finished) {
         departures.departed(fx.now());
--- a/core/src/main/java/org/mustardlatch/core/routing/EngineState.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/EngineState.java
@@ -34,7 +34,9 @@
   int unaccounted;
 
   int reportedRunning;
-  int handoverGrants;
+
+  /** Decode slots of reservations that this node granted itself. */
+  int grantedSlots;
 
   /** Time before which no work is sent, after a crash or a refusal. */
   long blockedUntilNanos = Long.MIN_VALUE;
@@ -69,7 +71,7 @@
    * of its predecessor: half of those that the engine reports as free.
    */
   int freeSlotsInHandover() {
-    int half = Math.max(0, upstream.slots() - reportedRunning) / 2 - handoverGrants;
+    int half = Math.max(0, upstream.slots() - reportedRunning) / 2 - grantedSlots;
     return Math.min(half, freeSlots());
   }
 
--- /dev/null
+++ b/core/src/test/java/org/mustardlatch/core/routing/FairQueueTest.java
@@ -0,0 +1,78 @@
+package org.mustardlatch.core.routing;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.mustardlatch.core.model.AttemptId;
+import org.mustardlatch.core.model.RequestId;
+import org.mustardlatch.core.model.WorkspaceId;
+
+class FairQueueTest {
+  private final FairQueue queue = new FairQueue();
+
+  private static Ask ask(String workspace, int number) {
+    return new Ask(
+        new AttemptId(new RequestId(workspace + number), 1),
+        Fixtures.host(0),
+        new WorkspaceId(workspace),
+        1000,
+        100,
+        List.of(),
+        Fixtures.fingerprint(number),
+        null,
+        0,
+        0,
+        List.of());
+  }
+
+  private List<String> serve(int count) {
+    List<String> served = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      Ask next = queue.first(1).getFirst();
+      queue.served(next.attempt());
+      served.add(next.workspace().value());
+    }
+    return served;
+  }
+
+  @Test
+  void sharesByWeightWhateverTheNumberOfRequests() {
+    for (int i = 0; i < 30; i++) {
+      queue.add(ask("many", i), 1);
+    }
+    for (int i = 0; i < 10; i++) {
+      queue.add(ask("few", i), 2);
+    }
+    List<String> served = serve(9);
+
+    assertThat(served.stream().filter("few"::equals).count()).isEqualTo(6);
+  }
+
+  @Test
+  void servesAWorkspaceThatWasIdleNextAndNotForItsIdleTime() {
+    for (int i = 0; i < 20; i++) {
+      queue.add(ask("busy", i), 1);
+    }
+    serve(10);
+    queue.add(ask("late", 1), 1);
+    queue.add(ask("late", 2), 1);
+    queue.add(ask("late", 3), 1);
+
+    assertThat(serve(5).stream().filter("late"::equals).count()).isAtMost(3);
+    assertThat(queue.size()).isEqualTo(8);
+  }
+
+  @Test
+  void countsWaitingTokensAndForgetsWithdrawnRequests() {
+    queue.add(ask("a", 1), 1);
+    queue.add(ask("a", 2), 1);
+    assertThat(queue.tokensWaiting()).isEqualTo(2000);
+
+    queue.remove(ask("a", 1).attempt());
+    queue.remove(ask("a", 1).attempt());
+    assertThat(queue.tokensWaiting()).isEqualTo(1000);
+    assertThat(queue.contains(ask("a", 1).attempt())).isFalse();
+  }
+}
--- a/core/src/test/java/org/mustardlatch/core/routing/Fixtures.java
+++ b/core/src/test/java/org/mustardlatch/core/routing/Fixtures.java
@@ -79,6 +79,15 @@
     return result;
   }
 
+  /** Returns engines m0, m1, … that do both halves. */
+  static List<Upstream> mixed(int count) {
+    List<Upstream> result = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      result.add(engine("m" + i, UpstreamRole.MIXED, "oslo-a", 20));
+    }
+    return result;
+  }
+
   static HostId host(int number) {
     return new HostId("n" + number);
   }
--- a/core/src/test/java/org/mustardlatch/core/routing/NodeRouterTest.java
+++ b/core/src/test/java/org/mustardlatch/core/routing/NodeRouterTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Test;
 import org.mustardlatch.core.error.ErrorCode;
 import org.mustardlatch.core.manifest.Objective;
+import org.mustardlatch.core.manifest.UpstreamRole;
 import org.mustardlatch.core.model.AttemptId;
 import org.mustardlatch.core.model.HostId;
 import org.mustardlatch.core.model.RequestId;
@@ -197,4 +198,89 @@
     handle(new RoutingEvent.HeldAttemptsListed(new UpstreamId("d0"), List.of(live)));
     assertThat(all(RoutingCommand.CancelHeld.class)).hasSize(2);
   }
+
+  @Test
+  void givesAMixedEngineBothHalvesInOneSlot() {
+    handle(
+        new RoutingEvent.ManifestApplied(
+            2,
+            Fixtures.manifest(
+                Objective.CREST_AVERSE,
+                List.of(Fixtures.engine("m0", UpstreamRole.MIXED, "oslo-a", 2)))));
+    RoutingCommand.StartDecode d = prefilled(arrive("r1"));
+    assertThat(d.upstream()).isEqualTo(new UpstreamId("m0"));
+    handle(new RoutingEvent.DecodeFinished(d.attempt()));
+
+    // A slot or memory that was not given back would refuse one of these.
+    for (int i = 0; i < 100; i++) {
+      handle(new RoutingEvent.DecodeFinished(prefilled(arrive("s" + i)).attempt()));
+    }
+    assertThat(all(RoutingCommand.Complete.class)).hasSize(101);
+    assertNothingLeft();
+  }
+
+  @Test
+  void asksTheOtherRegionOnlyWhenItsOwnHasNoCell() {
+    NodeRouter remote =
+        new NodeRouter(Fixtures.host(1), Fixtures.BERGEN, 1, new SplittableRandom(1));
+    List<RoutingEvent> setup =
+        List.of(
+            new RoutingEvent.MembersChanged(
+                List.of(Fixtures.member(0, OSLO), Fixtures.member(1, Fixtures.BERGEN))),
+            new RoutingEvent.ManifestApplied(
+                1, Fixtures.manifest(Objective.CREST_AVERSE, Fixtures.pools(2, 2))),
+            new RoutingEvent.RequestArrived(Fixtures.request("r1", 2000, now)));
+    setup.forEach(e -> remote.handle(e, now, commands::add));
+
+    assertThat(last(RoutingCommand.SendPeer.class).to()).isEqualTo(Fixtures.host(0));
+    assertThat(all(RoutingCommand.Explain.class).stream().map(RoutingCommand.Explain::rule))
+        .contains("cross_region");
+  }
+
+  @Test
+  void refusesToCrossWithoutByteBudget() {
+    NodeRouter remote =
+        new NodeRouter(Fixtures.host(1), Fixtures.BERGEN, 1, new SplittableRandom(1));
+    remote.handle(
+        new RoutingEvent.MembersChanged(
+            List.of(Fixtures.member(0, OSLO), Fixtures.member(1, Fixtures.BERGEN))),
+        now,
+        commands::add);
+    remote.handle(
+        new RoutingEvent.ManifestApplied(
+            1, Fixtures.manifest(Objective.CREST_AVERSE, Fixtures.pools(2, 2))),
+        now,
+        commands::add);
+    for (int i = 0; i < 6; i++) {
+      // 120 kB each; the budget of the region is 500 kB a second.
+      GenerationRequest r = Fixtures.request("r" + i, 30_000, now);
+      remote.handle(new RoutingEvent.RequestArrived(r), now, commands::add);
+    }
+    assertThat(all(RoutingCommand.Refuse.class)).hasSize(2);
+  }
+
+  @Test
+  void movesTheReservationOfAStreamToTheNodeThatTakesItsCellOver() {
+    NodeRouter second = new NodeRouter(Fixtures.host(1), OSLO, 1, new SplittableRandom(1));
+    List<Member> both = List.of(Fixtures.member(0, OSLO), Fixtures.member(1, OSLO));
+    second.handle(new RoutingEvent.MembersChanged(both), now, c -> {});
+    second.handle(
+        new RoutingEvent.ManifestApplied(
+            1, Fixtures.manifest(Objective.CREST_AVERSE, Fixtures.pools(2, 2))),
+        now,
+        c -> {});
+    RoutingCommand.StartDecode d = prefilled(arrive("r1"));
+    handle(new RoutingEvent.DecodeStarted(d.attempt()));
+    commands.clear();
+    handle(new RoutingEvent.MembersChanged(both));
+    if (second.admittedEngines().isEmpty()) {
+      assertThat(all(RoutingCommand.SendPeer.class)).isEmpty();
+      assertThat(router.openReservations()).isEqualTo(1);
+    } else {
+      RoutingCommand.SendPeer renew = last(RoutingCommand.SendPeer.class);
+      second.handle(new RoutingEvent.PeerReceived(Fixtures.host(0), renew.message()), now, c -> {});
+      assertThat(router.openReservations()).isEqualTo(0);
+      assertThat(second.openReservations()).isEqualTo(1);
+    }
+  }
 }
--- a/core/src/test/java/org/mustardlatch/core/routing/ScheduleTest.java
+++ b/core/src/test/java/org/mustardlatch/core/routing/ScheduleTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Test;
 import org.mustardlatch.core.error.ErrorCode;
 import org.mustardlatch.core.manifest.Objective;
+import org.mustardlatch.core.manifest.Upstream;
 import org.mustardlatch.core.model.Fingerprint;
 import org.mustardlatch.core.model.RequestId;
 
@@ -20,7 +21,8 @@
 
   private static FakeFleet fleet(long seed) {
     Objective objective = seed % 2 == 0 ? Objective.CREST_AVERSE : Objective.WASTE_AVERSE;
-    return new FakeFleet(seed, 4, Fixtures.manifest(objective, Fixtures.pools(3, 3)));
+    List<Upstream> engines = seed % 3 == 0 ? Fixtures.mixed(6) : Fixtures.pools(3, 3);
+    return new FakeFleet(seed, 4, Fixtures.manifest(objective, engines));
   }
 
   private static void requests(FakeFleet f, SplittableRandom r, int count, long span) {
