--- a/daemon/src/test/java/org/mustardlatch/daemon/Fleet.java
+++ b/daemon/src/test/java/org/mustardlatch/daemon/Fleet.java
@@ -84,6 +84,10 @@
     return engines.get(index);
   }
 
+  ObjectServiceStandin store() {
+    return store;
+  }
+
   Daemon daemon() {
     return daemon;
   }
