--- /dev/null
+++ b/daemon/src/test/java/org/mustardlatch/daemon/BadInputTest.java
@@ -0,0 +1,172 @@
+package org.mustardlatch.daemon;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.TestInstance;
+import org.mustardlatch.standin.EngineOptions;
+import org.mustardlatch.standin.TokenText;
+
+/** Guards against input that breaks the daemon for the next request, or gets an unclear error. */
+@TestInstance(TestInstance.Lifecycle.PER_CLASS)
+class BadInputTest {
+  private final Fleet fleet =
+      new Fleet(
+          EngineOptions.fast("prefill-1", "prefill"), EngineOptions.fast("decode-1", "decode"));
+
+  @BeforeAll
+  void engineWorks() {
+    theNextRequestWorks();
+  }
+
+  @AfterEach
+  void theNextRequestWorks() {
+    HttpCalls.Answer answer = Fleet.complete(fleet.daemon().callerPort(), "next", 3, false);
+    assertThat(answer.text()).isEqualTo(TokenText.answer("next", 3));
+  }
+
+  @AfterAll
+  void close() {
+    fleet.close();
+  }
+
+  @Test
+  void malformedJsonIsRefusedWithItsPlace() {
+    HttpCalls.Answer answer = post("{\"model\": \"wording\",");
+    assertThat(answer.status()).isEqualTo(400);
+    assertThat(answer.code()).isEqualTo("malformed_json");
+    assertThat(answer.body()).contains("line 1");
+  }
+
+  @Test
+  void duplicateKeysAndTrailingTextAreRefused() {
+    assertThat(post("{\"model\":\"wording\",\"model\":\"other\"}").code())
+        .isEqualTo("malformed_json");
+    assertThat(post("{\"model\":\"wording\",\"prompt\":\"a\"} {}").code())
+        .isEqualTo("malformed_json");
+  }
+
+  @Test
+  void anEmptyBodyAndAListAreRefused() {
+    assertThat(post("").code()).isEqualTo("invalid_argument");
+    assertThat(post("[]").code()).isEqualTo("invalid_argument");
+  }
+
+  @Test
+  void wrongTypesNameTheirField() {
+    assertThat(post("{\"model\":7}").body()).contains("\\\"model\\\"");
+    assertThat(post("{\"model\":\"wording\",\"prompt\":[\"a\",\"b\"]}").body())
+        .contains("\\\"prompt\\\"");
+    assertThat(post("{\"model\":\"wording\",\"prompt\":\"a\",\"max_tokens\":0}").body())
+        .contains("\\\"max_tokens\\\"");
+    assertThat(post("{\"model\":\"wording\",\"prompt\":\"a\",\"stream\":\"yes\"}").body())
+        .contains("\\\"stream\\\"");
+    assertThat(post("{\"model\":\"wording\",\"prompt\":\"a\",\"n\":2}").body())
+        .contains("\\\"n\\\"");
+  }
+
+  @Test
+  void fieldsThatOpenAiClientsSendAreAcceptedButTransferParametersAreNot() {
+    assertThat(post("{\"model\":\"wording\",\"prompt\":\"a\",\"user\":\"u\",\"top_k\":3}").status())
+        .isEqualTo(200);
+    assertThat(post("{\"model\":\"wording\",\"prompt\":\"a\",\"kv_transfer_params\":{}}").code())
+        .isEqualTo("unknown_field");
+  }
+
+  @Test
+  void anUnknownModelAndAnUnknownKeyAreRefused() {
+    assertThat(post("{\"model\":\"other\",\"prompt\":\"a\"}").code()).isEqualTo("unknown_model");
+    HttpCalls.Answer answer =
+        HttpCalls.send(
+            HttpRequest.newBuilder(fleet.url("/v1/completions"))
+                .header("Authorization", "Bearer wrong")
+                .POST(BodyPublishers.ofString("{}"))
+                .build());
+    assertThat(answer.status()).isEqualTo(401);
+    assertThat(answer.code()).isEqualTo("unauthenticated");
+  }
+
+  @Test
+  void anUnknownRouteIsRefused() {
+    assertThat(HttpCalls.get(fleet.url("/v2/nothing")).code()).isEqualTo("unknown_route");
+  }
+
+  @Test
+  void aPromptThatIsTooLongIsRefusedBeforeAnyEngineSeesIt() {
+    String prompt = "x".repeat(200_000);
+    assertThat(post("{\"model\":\"wording\",\"prompt\":\"" + prompt + "\"}").code())
+        .isEqualTo("prompt_too_long");
+  }
+
+  @Test
+  void anOversizedBodyIsRefusedWithAndWithoutAnnouncedLength() {
+    byte[] body = new byte[5 << 20];
+    HttpCalls.Answer announced =
+        HttpCalls.send(
+            HttpCalls.request(fleet.url("/v1/completions"))
+                .POST(BodyPublishers.ofByteArray(body))
+                .build());
+    assertThat(announced.code()).isEqualTo("body_too_large");
+    HttpCalls.Answer chunked =
+        HttpCalls.send(
+            HttpCalls.request(fleet.url("/v1/completions"))
+                .POST(BodyPublishers.fromPublisher(BodyPublishers.ofByteArray(body)))
+                .build());
+    assertThat(chunked.status()).isEqualTo(413);
+  }
+
+  @Test
+  void oversizedHeadersGetAnErrorInTheUsualForm() throws IOException {
+    String answer =
+        raw("GET /v1/models HTTP/1.1\r\nHost: a\r\nX-Long: " + "x".repeat(20_000) + "\r\n\r\n");
+    assertThat(answer).startsWith("HTTP/1.1 431");
+    assertThat(answer).contains("\"code\":\"headers_too_large\"");
+  }
+
+  @Test
+  void bytesThatAreNoHttpRequestGetAnErrorInTheUsualForm() throws IOException {
+    String answer = raw("no request\r\n\r\n");
+    assertThat(answer).startsWith("HTTP/1.1 400");
+    assertThat(answer).contains("\"code\":\"invalid_argument\"");
+  }
+
+  @Test
+  void anInvalidManifestIsRefusedWholeWithAllFindings() {
+    HttpCalls.Answer answer =
+        HttpCalls.post(fleet.operatorUrl("/manifest?base=1"), "a = 1\nb = 2\n", "text/plain");
+    assertThat(answer.code()).isEqualTo("manifest_invalid");
+    assertThat(answer.body()).contains("manifest:1:1");
+    assertThat(answer.body()).contains("manifest:2:1");
+  }
+
+  @Test
+  void aManifestOnAnOldBaseIsAConflict() {
+    String text = HttpCalls.get(fleet.operatorUrl("/manifest")).body();
+    HttpCalls.Answer answer =
+        HttpCalls.post(fleet.operatorUrl("/manifest?base=0"), text, "text/plain");
+    assertThat(answer.code()).isEqualTo("manifest_conflict");
+  }
+
+  private HttpCalls.Answer post(String body) {
+    return HttpCalls.post(fleet.url("/v1/completions"), body, "application/json");
+  }
+
+  private String raw(String request) throws IOException {
+    try (Socket socket =
+        new Socket(InetAddress.getLoopbackAddress(), fleet.daemon().callerPort())) {
+      socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+      byte[] answer = new byte[2_000];
+      int length = socket.getInputStream().readNBytes(answer, 0, 300);
+      return new String(answer, 0, Math.max(0, length), StandardCharsets.US_ASCII);
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/mustardlatch/daemon/KeyedWorkTest.java
@@ -0,0 +1,111 @@
+package org.mustardlatch.daemon;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.mustardlatch.standin.ApplicationStandin;
+import org.mustardlatch.standin.EngineOptions;
+
+/** Guards against confirmations that run twice or are answered wrongly, through two daemons. */
+class KeyedWorkTest {
+  private final ApplicationStandin application = new ApplicationStandin(0);
+  private final Fleet fleet =
+      new Fleet(EngineOptions.fast("prefill-1", "prefill"), EngineOptions.fast("d-1", "decode"));
+
+  @BeforeEach
+  void publishRoutes() {
+    application.start();
+    fleet.publish(
+        """
+        [[upstream]]
+        name = "orders-1"
+        kind = "application"
+        zone = "heredia"
+        url = "%s"
+        [[route]]
+        path = "/orders/confirm"
+        methods = ["POST"]
+        upstreams = ["orders-1"]
+        [[route]]
+        path = "/orders/status"
+        methods = ["GET"]
+        upstreams = ["orders-1"]
+        idempotent = true
+        """
+            .formatted(application.url()));
+  }
+
+  @AfterEach
+  void close() {
+    fleet.close();
+    application.stop();
+  }
+
+  @Test
+  void aRepeatedConfirmationRunsOnceAndGetsTheRecordedAnswerAtEveryNode() {
+    HttpCalls.Answer first = confirm(fleet.daemon(), "key-1", "{\"order\":1}");
+    assertThat(first.toString()).startsWith("201 ");
+    Daemon other = fleet.startAnother("entry-2", 0);
+    try {
+      HttpCalls.Answer repeat = confirm(other, "key-1", "{\"order\":1}");
+      assertThat(repeat.toString()).isEqualTo(first.toString());
+      assertThat(repeat.header("content-type")).isEqualTo(first.header("content-type"));
+    } finally {
+      other.stop();
+    }
+    assertThat(application.runs("key-1")).isEqualTo(1);
+  }
+
+  @Test
+  void aKeyOfAnotherBodyIsRefused() {
+    confirm(fleet.daemon(), "key-2", "{\"order\":1}");
+    assertThat(confirm(fleet.daemon(), "key-2", "{\"order\":2}").code())
+        .isEqualTo("idempotency_key_reused");
+    assertThat(application.runs("key-2")).isEqualTo(1);
+  }
+
+  @Test
+  void aLostAnswerIsReportedAsUnknownAndNeverRunAgain() {
+    application.faults().loseAnswers(true);
+    assertThat(confirm(fleet.daemon(), "key-3", "{}").code()).isEqualTo("outcome_unknown");
+    application.faults().loseAnswers(false);
+    assertThat(confirm(fleet.daemon(), "key-3", "{}").code()).isEqualTo("outcome_unknown");
+    assertThat(application.runs("key-3")).isEqualTo(1);
+  }
+
+  @Test
+  void aServiceThatIsDownMeansNotRunAndTheSameKeyWorksLater() {
+    application.stop();
+    HttpCalls.Answer refused = confirm(fleet.daemon(), "key-4", "{}");
+    assertThat(refused.status()).isEqualTo(503);
+    assertThat(refused.body()).contains("not run");
+    application.start();
+    Await.until(
+        "the key works again",
+        Duration.ofSeconds(5),
+        () -> confirm(fleet.daemon(), "key-4", "{}").status() == 201);
+    assertThat(application.runs("key-4")).isEqualTo(1);
+  }
+
+  @Test
+  void aCallWithoutKeyIsRefusedAndALookUpNeedsNone() {
+    HttpCalls.Answer answer =
+        HttpCalls.post(fleet.url("/orders/confirm"), "{}", "application/json");
+    assertThat(answer.code()).isEqualTo("invalid_argument");
+    HttpCalls.Answer status = HttpCalls.get(fleet.url("/orders/status/7?full=yes"));
+    assertThat(status.json().path("path").asText()).isEqualTo("/orders/status/7");
+    assertThat(status.json().path("query").asText()).isEqualTo("full=yes");
+  }
+
+  private static HttpCalls.Answer confirm(Daemon daemon, String key, String body) {
+    return HttpCalls.post(
+        Fleet.url(daemon.callerPort(), "/orders/confirm"),
+        body,
+        "application/json",
+        "Idempotency-Key",
+        key);
+  }
+}
