--- a/daemon/src/main/java/org/mustardlatch/daemon/Daemon.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/Daemon.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -13,11 +14,15 @@
 import org.mustardlatch.core.ledger.KeyedPolicy;
 import org.mustardlatch.core.ledger.LedgerLimits;
 import org.mustardlatch.core.manifest.LedgerPolicy;
+import org.mustardlatch.core.model.HostId;
+import org.mustardlatch.core.peer.LedgerMessage;
+import org.mustardlatch.core.peer.PeerMessage;
 import org.mustardlatch.core.routing.NodeRouter;
 import org.mustardlatch.core.routing.RoutingEvent;
 import org.mustardlatch.core.settings.Settings;
 import org.mustardlatch.daemon.caller.CallerApi;
 import org.mustardlatch.daemon.ledger.LedgerService;
+import org.mustardlatch.daemon.ledger.LedgerSettings;
 import org.mustardlatch.daemon.log.EventLog;
 import org.mustardlatch.daemon.log.LogEvent;
 import org.mustardlatch.daemon.node.AppliedManifest;
@@ -77,11 +82,11 @@
     manifests = new ManifestService(new ManifestStore(store, loop, random), peers.service(), loop);
     ledger =
         new LedgerService(
-            settings.host(),
+            new LedgerSettings(
+                settings.host(), Optional.empty(), this::ledgerLimits, KeyedPolicy.DEFAULT),
             peers,
             store,
-            this::ledgerLimits,
-            KeyedPolicy.DEFAULT,
+            Optional.of(peers.service()::send),
             InstantSource.system(),
             random);
     Owner owner = new Owner(settings.host(), router::incarnation);
@@ -114,6 +119,7 @@
     EventLog.log(LogEvent.DAEMON_STARTING, settings.host(), settings.zone(), peers.incarnation());
     var unused = manifest.changes().subscribe(this::apply);
     peers.service().addListener(new ReadyListener());
+    peers.service().addListener(new LedgerListener());
     var unusedAddress = peers.service().start();
     manifests.start();
     ledger.start();
@@ -195,6 +201,16 @@
     routing.post(event);
   }
 
+  /** Passes messages about records to the ledger. */
+  private final class LedgerListener implements PeerServiceListener {
+    @Override
+    public void received(HostId from, long incarnation, PeerMessage message) {
+      if (message instanceof LedgerMessage m) {
+        ledger.receive(from, incarnation, m);
+      }
+    }
+  }
+
   /** Turns readiness on when the manifest in force is recent enough. */
   private final class ReadyListener implements PeerServiceListener {
     @Override
--- a/daemon/src/main/java/org/mustardlatch/daemon/PeerBinding.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/PeerBinding.java
@@ -85,7 +85,7 @@
       case AdmissionMessage m -> events.accept(new RoutingEvent.PeerReceived(from, m));
       case EvidenceMessage m -> events.accept(new RoutingEvent.PeerReceived(from, m));
       default -> {
-        // Ledger messages are not sent yet: every node writes its records directly.
+        // Other listeners take the messages about records; the peer service takes the rest itself.
       }
     }
   }
