--- a/wire/src/main/java/org/mustardlatch/wire/RolloutCodec.java
+++ b/wire/src/main/java/org/mustardlatch/wire/RolloutCodec.java
@@ -15,7 +15,9 @@
               .setDigest(PeerCodec.digestToBytes(m.digest()));
       case RolloutMessage.ConfigFetch m -> out.getConfigFetchBuilder().setRevision(m.revision());
       case RolloutMessage.ConfigBody m ->
-          out.getConfigBodyBuilder().setRevision(m.revision()).setText(m.text());
+          out.getConfigBodyBuilder()
+              .setRevision(m.revision())
+              .setGzip(Compression.compress(m.text()));
       case RolloutMessage.ConfigApplied m ->
           out.getConfigAppliedBuilder().setRevision(m.revision());
     }
@@ -30,7 +32,7 @@
       case CONFIG_FETCH -> new RolloutMessage.ConfigFetch(e.getConfigFetch().getRevision());
       case CONFIG_BODY ->
           new RolloutMessage.ConfigBody(
-              e.getConfigBody().getRevision(), e.getConfigBody().getText());
+              e.getConfigBody().getRevision(), Compression.decompress(e.getConfigBody().getGzip()));
       case CONFIG_APPLIED -> new RolloutMessage.ConfigApplied(e.getConfigApplied().getRevision());
       default -> throw PeerCodec.unexpected(e);
     };
--- a/wire/src/test/java/org/mustardlatch/wire/PeerCodecTest.java
+++ b/wire/src/test/java/org/mustardlatch/wire/PeerCodecTest.java
@@ -142,6 +142,15 @@
         IllegalArgumentException.class, () -> PeerCodec.decode(Envelope.getDefaultInstance()));
   }
 
+  /** Guards against a small frame that expands to fill the heap. */
+  @Test
+  void aManifestThatExpandsWithoutBoundIsRefused() {
+    String large = "x".repeat(Compression.MAX_TEXT_BYTES + 1);
+    Envelope.Builder b = Envelope.newBuilder();
+    PeerCodec.encode(new RolloutMessage.ConfigBody(1, large), b);
+    assertThrows(IllegalArgumentException.class, () -> PeerCodec.decode(b.build()));
+  }
+
   private static List<Class<?>> records(Class<?> type) {
     if (!type.isSealed()) {
       return List.of(type);
--- /dev/null
+++ b/wire/src/test/java/org/mustardlatch/wire/bench/BenchCosts.java
@@ -0,0 +1,117 @@
+package org.mustardlatch.wire.bench;
+
+import com.sun.management.ThreadMXBean;
+import java.lang.management.ManagementFactory;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import org.mustardlatch.core.manifest.ManifestParser;
+import org.mustardlatch.core.model.Fingerprint;
+import org.mustardlatch.core.model.HostId;
+import org.mustardlatch.core.model.RegionId;
+import org.mustardlatch.core.model.UpstreamId;
+import org.mustardlatch.core.model.ZoneId;
+import org.mustardlatch.core.peer.AdmissionMessage.ReservationRenew;
+import org.mustardlatch.core.peer.AdmissionMessage.Reserve;
+import org.mustardlatch.core.peer.AdmissionMessage.Stage;
+import org.mustardlatch.core.peer.BudgetMessage.BudgetLease;
+import org.mustardlatch.core.peer.BudgetMessage.BudgetLeaseRequest;
+import org.mustardlatch.core.peer.EvidenceMessage.CrashReport;
+import org.mustardlatch.core.peer.LedgerMessage.LedgerStart;
+import org.mustardlatch.core.peer.MembershipMessage.Heartbeat;
+import org.mustardlatch.core.peer.MembershipMessage.Rumor;
+import org.mustardlatch.core.peer.MembershipMessage.State;
+import org.mustardlatch.core.peer.PeerMessage;
+import org.mustardlatch.core.peer.RolloutMessage.ConfigBody;
+import org.mustardlatch.core.peer.RolloutMessage.ConfigOffer;
+import org.mustardlatch.wire.PeerCodec;
+import org.mustardlatch.wire.generated.PeerProto.Envelope;
+
+/** Prints the size of each message on the socket, and what a manifest costs; no sockets. */
+public final class BenchCosts {
+  /** Length prefix, and header, content type and tag of a TLS 1.3 record. */
+  private static final int FRAMING = 4 + 22;
+
+  private static final int ROUNDS = 12;
+
+  private BenchCosts() {}
+
+  /** Runs the program. */
+  public static void main(String[] arguments) {
+    Reserve reserve = BenchMessages.reserve(123_456_789L);
+    Fingerprint print = reserve.fingerprint();
+    Rumor rumor =
+        new Rumor(
+            new HostId("oslo-a-router-117"),
+            new RegionId("oslo"),
+            new ZoneId("oslo-a"),
+            "10.20.30.117:7100",
+            1_764_000_000_000L,
+            3,
+            State.SUSPECT);
+    UpstreamId engine = new UpstreamId("oslo-a-srv-118-acc-6");
+    for (PeerMessage m :
+        List.of(
+            new Heartbeat(100_000, 1_000, List.of()),
+            new Heartbeat(100_000, 1_000, List.of(rumor)),
+            reserve,
+            BenchMessages.granted(reserve),
+            new ReservationRenew(reserve.attempt(), reserve.cell(), engine, Stage.DECODE, 200),
+            BenchMessages.release(BenchMessages.granted(reserve)),
+            new BudgetLeaseRequest("workspace/workspace-217", 2.5),
+            new BudgetLease("workspace/workspace-217", 2.5, 1_000_000_000L),
+            new CrashReport(engine, "oslo-a-router-117/1764000000000/12", List.of(print, print)),
+            new LedgerStart(217, "0".repeat(32), "n".repeat(48), "d".repeat(64)),
+            new ConfigOffer(1_000, print.value()))) {
+      System.out.printf(Locale.ROOT, "%-22s %6d bytes%n", m.getClass().getSimpleName(), size(m));
+    }
+    for (int engines : new int[] {13, 600, 4_800}) {
+      manifest(engines);
+    }
+  }
+
+  private static int size(PeerMessage message) {
+    Envelope.Builder b =
+        Envelope.newBuilder()
+            .setHost("oslo-a-router-117")
+            .setIncarnation(1_764_000_000_000L)
+            .setSequence(1_000_000);
+    PeerCodec.encode(message, b);
+    return b.build().getSerializedSize() + FRAMING;
+  }
+
+  /** Parses a manifest several times; the last rounds count. */
+  private static void manifest(int engines) {
+    String text = TargetManifest.text(engines, 1);
+    ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
+    long cpu = 0;
+    long allocated = 0;
+    int findings = 0;
+    for (int i = 0; i < ROUNDS; i++) {
+      long cpuBefore = threads.getCurrentThreadCpuTime();
+      long allocatedBefore = threads.getCurrentThreadAllocatedBytes();
+      findings = ManifestParser.parse("m.toml", text).findings().size();
+      if (i >= ROUNDS / 2) {
+        cpu += threads.getCurrentThreadCpuTime() - cpuBefore;
+        allocated += threads.getCurrentThreadAllocatedBytes() - allocatedBefore;
+      }
+    }
+    int counted = ROUNDS - ROUNDS / 2;
+    long packBefore = threads.getCurrentThreadCpuTime();
+    for (int i = 0; i < ROUNDS; i++) {
+      findings += size(new ConfigBody(1_000, TargetManifest.text(engines, i + 2))) < 0 ? 1 : 0;
+    }
+    double packed = (threads.getCurrentThreadCpuTime() - packBefore) / 1e6 / ROUNDS;
+    System.out.printf(
+        Locale.ROOT,
+        "manifest with %4d engines: %d bytes, %d on the socket, compress %.1f ms, parse %.1f ms,"
+            + " %.1f MB allocated, %d findings%n",
+        engines,
+        text.getBytes(StandardCharsets.UTF_8).length,
+        size(new ConfigBody(1_000, text)),
+        packed,
+        cpu / 1e6 / counted,
+        allocated / 1e6 / counted,
+        findings);
+  }
+}
