Size the prefix index of an engine by its KV memory

Cause: the index held 4,096 blocks while an engine with 72 pieces caches 281. It expected hits that the engine had evicted; the longer prefill then passed for a straggler and the engine got probes only.

Ruled out: learning the hit rate from prefill times, which cannot be told from a slow engine.

--- a/core/src/main/java/org/mustardlatch/core/routing/EngineState.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/EngineState.java
@@ -11,7 +11,9 @@
   private static final long PREFILL_OVERHEAD_NANOS = 4_000_000;
   // A prefill past its predicted end is expected to take this share of its age on top.
   private static final double OVERDUE_SHARE = 0.3;
+  // For engines whose manifest entry states no memory.
   private static final int PREFIX_BLOCKS = 4096;
+  private static final int PIECE_TOKENS = 1000;
 
   /** The engine as the manifest in force states it. */
   Upstream upstream;
@@ -19,7 +21,7 @@
   final Pace prefillPace = new Pace();
   final Pace transferPace = new Pace();
   final Pace tokenPace = new Pace();
-  final PrefixIndex prefixes = new PrefixIndex(PREFIX_BLOCKS);
+  final PrefixIndex prefixes;
   final ProbeGate probes = new ProbeGate();
 
   /** Prefills granted and not known to have ended, oldest first. */
@@ -42,6 +44,12 @@
 
   EngineState(Upstream upstream) {
     this.upstream = upstream;
+    // The engine caches prefixes in its KV memory. A larger index expects hits that the engine has
+    // evicted, and takes the longer prefill that follows for a straggler.
+    int pieces = upstream.memoryPieces();
+    this.prefixes =
+        new PrefixIndex(
+            pieces == 0 ? PREFIX_BLOCKS : pieces * PIECE_TOKENS / PrefixIndex.BLOCK_TOKENS);
   }
 
   boolean usable(LeavingUpstreams leaving, long now) {
