Take the ways between regions off the deadline of a crossing

Cause: a remote cell predicted the first token without the six ways of 25 ms that a crossing takes, so requests that crossed came late and their prefill was spent for nothing. The entry node now subtracts three round trips, which it measures by the answers to its asks.

--- a/core/src/main/java/org/mustardlatch/core/routing/AttemptDriver.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/AttemptDriver.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import org.jspecify.annotations.Nullable;
 import org.mustardlatch.core.model.HostId;
+import org.mustardlatch.core.model.RegionId;
 import org.mustardlatch.core.model.UpstreamId;
 import org.mustardlatch.core.peer.AdmissionMessage.Outcome;
 import org.mustardlatch.core.peer.AdmissionMessage.ReservationRelease;
@@ -19,10 +20,12 @@
   private static final int MAX_PREFIX_BLOCKS = 64;
 
   private final Effects fx;
+  private final CrossingDelay crossingDelay;
   private Topology topology;
 
-  AttemptDriver(Effects fx, Topology topology) {
+  AttemptDriver(Effects fx, RegionId region, Topology topology) {
     this.fx = fx;
+    this.crossingDelay = new CrossingDelay(region);
     this.topology = topology;
   }
 
@@ -93,7 +96,14 @@
       long target = a.cell.model().firstTokenTarget().toNanos();
       return Math.min(q.request.finalDeadlineNanos() - now, target);
     }
-    return q.request.firstTokenDeadlineNanos() - now;
+    return q.request.firstTokenDeadlineNanos() - now - crossingDelay.nanos(a.cell);
+  }
+
+  /** Takes note that an admitting node answered the last ask. */
+  void answered(Attempt a) {
+    if (a.state == Attempt.State.ASKING) {
+      crossingDelay.answered(a.cell, fx.now() - a.lastAskNanos);
+    }
   }
 
   /** Starts the upstream work of a granted attempt. */
--- a/core/src/main/java/org/mustardlatch/core/routing/EntrySide.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/EntrySide.java
@@ -67,7 +67,7 @@
     this.chooser = new CellChooser(region, env.random());
     this.crossing = new Crossing(fx, settings, chooser);
     this.topology = topology;
-    this.driver = new AttemptDriver(fx, topology);
+    this.driver = new AttemptDriver(fx, region, topology);
     this.starter = new AttemptStarter(env, evidenceSide, chooser, crossing, driver, region, this);
   }
 
@@ -160,6 +160,7 @@
       }
       return;
     }
+    driver.answered(a);
     boolean prefillLeaves = a.inherited == null && leaving.contains(grant.prefill(), fx.now());
     if (prefillLeaves || leaving.contains(grant.decode(), fx.now())) {
       q.excluded.add(prefillLeaves ? grant.prefill() : grant.decode());
@@ -180,6 +181,7 @@
     chooser.learn(answer.summary(), fx.now());
     if (requests.find(answer.attempt()) instanceof Found(EntryRequest q, Attempt a)
         && !a.granted()) {
+      driver.answered(a);
       a.progressNanos = fx.now();
       if (a.state != Attempt.State.QUEUED) {
         a.enter(Attempt.State.QUEUED, fx.now());
@@ -196,6 +198,7 @@
         || a.granted()) {
       return;
     }
+    driver.answered(a);
     Duration after = Duration.ofNanos(answer.retryAfterNanos());
     if (!a.cell.region().equals(region)) {
       crossing.refused(q);
