Forward ledger records to shard owners, add orders to engines, sharpen the schedules

Forwarding: the entry node asks the owner by rendezvous hashing and writes directly after 1.5 s. The daemon's node keeps its constructor and writes directly until it passes peers. Ruled out: changing the shape of the ledger messages, since their states carry what is needed.

Orders: lease with fencing token, term counted from before the write by the holder and from the first sight of the version by a successor, planner without state, reading back after every order and on every tick. A lost renewal extends the term only when a read shows another version. No daemon service yet: the engine protocol does not say how role and weights are read.

The shared-write tests of LedgerService depended on speed (4 writes instead of 3 on a busy machine); they now hold the object service until all starts are taken and expect exactly one write.

RequestPathTest.twoHundredConcurrentStreamsEachCarryTheirOwnAnswer failed in both full runs at a load of 20 ("no cell can meet the first-token deadline"); not touched.

--- a/core/src/main/java/org/mustardlatch/core/ledger/ShardOwners.java
+++ b/core/src/main/java/org/mustardlatch/core/ledger/ShardOwners.java
@@ -1,11 +1,8 @@
 package org.mustardlatch.core.ledger;
 
-import static java.nio.charset.StandardCharsets.UTF_8;
-
-import com.google.common.hash.Hashing;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import org.mustardlatch.core.membership.Rendezvous;
 import org.mustardlatch.core.model.HostId;
 import org.mustardlatch.core.model.RegionId;
 import org.mustardlatch.core.routing.Member;
@@ -26,14 +23,12 @@
    */
   public static Optional<HostId> owner(
       int shard, List<Member> live, Optional<RegionId> storeRegion) {
-    Comparator<Member> near =
-        Comparator.comparing(m -> storeRegion.isPresent() && m.region().equals(storeRegion.get()));
-    return live.stream()
-        .max(near.thenComparingLong(m -> weight(shard, m.host())).thenComparing(Member::host))
-        .map(Member::host);
-  }
-
-  private static long weight(int shard, HostId host) {
-    return Hashing.sipHash24().hashString("ledger/" + shard + "/" + host, UTF_8).asLong();
+    List<HostId> near =
+        live.stream()
+            .filter(m -> storeRegion.isPresent() && m.region().equals(storeRegion.get()))
+            .map(Member::host)
+            .toList();
+    List<HostId> candidates = near.isEmpty() ? live.stream().map(Member::host).toList() : near;
+    return Rendezvous.owner("ledger/" + LedgerKey.shardName(shard), candidates);
   }
 }
--- a/core/src/main/java/org/mustardlatch/core/peer/LedgerMessage.java
+++ b/core/src/main/java/org/mustardlatch/core/peer/LedgerMessage.java
@@ -15,10 +15,12 @@
       implements LedgerMessage {}
 
   /**
-   * Answer to a start.
+   * Answer to a start or a finish.
    *
-   * @param state state of the record
-   * @param nonce the attempt that holds the record
+   * @param state STARTED, FINISHED, UNKNOWN or CANCELLED, the state of the record; REFUSED when the
+   *     owner made no record and never will for this message; REUSED when the key was used with
+   *     another request digest
+   * @param nonce the asked attempt when the record is its own, else empty
    * @param status HTTP status of the recorded answer; 0 when there is none
    * @param answer the recorded answer, or null
    */
@@ -31,7 +33,11 @@
       @Nullable String answer)
       implements LedgerMessage {}
 
-  /** Records the end of an attempt. */
+  /**
+   * Records the end of an attempt; answered by {@link LedgerStarted} once it is stored, else not.
+   *
+   * @param state FINISHED or UNKNOWN
+   */
   record LedgerFinish(
       int shard, String key, String nonce, String state, int status, @Nullable String answer)
       implements LedgerMessage {}
--- a/core/src/test/java/org/mustardlatch/core/ledger/FakeStore.java
+++ b/core/src/test/java/org/mustardlatch/core/ledger/FakeStore.java
@@ -22,11 +22,13 @@
   private long lastVersion;
   private long downUntil;
   private long slowUntil;
+  private final Consumer<JsonNode> onApplied;
   private boolean faulty = true;
 
-  private record Stored(String version, @Nullable JsonNode content) {}
+  record Stored(String version, @Nullable JsonNode content) {}
 
-  FakeStore(VirtualTimerService time, RandomGenerator random) {
+  FakeStore(VirtualTimerService time, RandomGenerator random, Consumer<JsonNode> onApplied) {
+    this.onApplied = onApplied;
     this.time = time;
     this.random = random;
   }
@@ -72,8 +74,9 @@
       return;
     }
     time.schedule(CLIENT_TIMEOUT, () -> answer.give(new ShardEvent.WriteUnknown()));
-    boolean late = faulty && random.nextInt(12) == 0;
-    Duration sendDelay = late ? Duration.ofMillis(random.nextInt(90_000)) : delay();
+    boolean late = faulty && random.nextInt(6) == 0;
+    int lateMillis = random.nextBoolean() ? 6_000 : 90_000;
+    Duration sendDelay = late ? Duration.ofMillis(random.nextInt(lateMillis)) : delay();
     time.schedule(sendDelay, () -> apply(shard, version, content, answer));
   }
 
@@ -84,6 +87,7 @@
     boolean matches = object(shard).version.equals(version);
     if (matches) {
       objects.put(shard, new Stored(Long.toString(++lastVersion), content));
+      onApplied.accept(content);
     }
     String stored = object(shard).version;
     if (!lost()) {
--- a/core/src/test/java/org/mustardlatch/core/ledger/LedgerWorld.java
+++ b/core/src/test/java/org/mustardlatch/core/ledger/LedgerWorld.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertWithMessage;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.truth.StandardSubjectBuilder;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -38,6 +39,7 @@
   private final List<LedgerKey> keys = new ArrayList<>();
   private final Set<Class<?>> replyKinds;
   private final Set<String> lostAnswers = new HashSet<>();
+  private final Set<String> forwarded = new HashSet<>();
   private long incarnations;
   private boolean faulty = true;
 
@@ -45,7 +47,7 @@
     this.seed = seed;
     this.replyKinds = replyKinds;
     random = new SplittableRandom(seed);
-    store = new FakeStore(time, random);
+    store = new FakeStore(time, random, this::checkApplied);
     for (int i = 0; keys.size() < KEYS; i++) {
       LedgerKey key = LedgerKey.of(new WorkspaceId("w"), "key-" + i);
       if (key.shard() == SHARD) {
@@ -75,7 +77,7 @@
     for (int i = 0; i < 16; i++) {
       LedgerKey key = keys.get(random.nextInt(KEYS));
       int node = random.nextInt(NODES);
-      time.schedule(within(FAULT_MILLIS), () -> call(key, node, within(40_000)));
+      time.schedule(within(FAULT_MILLIS), () -> call(key, node, deadline()));
       if (random.nextInt(3) == 0) { // the caller repeats at once, at another node
         time.schedule(within(FAULT_MILLIS), () -> twoCalls(key, node, (node + 1) % NODES));
       }
@@ -83,8 +85,13 @@
   }
 
   private void twoCalls(LedgerKey key, int first, int second) {
-    call(key, first, within(40_000));
-    call(key, second, within(40_000));
+    call(key, first, deadline());
+    call(key, second, deadline());
+  }
+
+  /** Short deadlines often pass while a write is not settled. */
+  private Duration deadline() {
+    return random.nextBoolean() ? within(3_000) : within(40_000);
   }
 
   private FakeCall call(LedgerKey key, int node, Duration deadline) {
@@ -94,7 +101,7 @@
     FakeCall call = new FakeCall(attempt, time.nanos() + deadline.toNanos());
     calls.add(call);
     n.begin(call);
-    if (faulty && random.nextInt(6) == 0) {
+    if (faulty && random.nextInt(3) == 0) {
       time.schedule(within(4_000), () -> n.callerGone(call));
     }
     return call;
@@ -132,7 +139,10 @@
     return node;
   }
 
-  /** Nodes disagree about who is alive, so that a shard has several owners at once. */
+  /**
+   * Nodes disagree about who is alive, so that a shard has several owners at once; a node that
+   * knows itself only writes directly.
+   */
   private void changeMembers(FakeNode node) {
     List<Member> members = new ArrayList<>();
     for (int i = 0; i < NODES; i++) {
@@ -147,6 +157,9 @@
   /** Messages are lost, duplicated and arrive late. */
   void deliver(FakeNode from, HostId to, LedgerMessage message) {
     int copies = !faulty || random.nextInt(8) > 0 ? 1 : random.nextInt(3);
+    if (message instanceof LedgerMessage.LedgerStart m) {
+      forwarded.add(m.nonce());
+    }
     if (copies == 0 && message instanceof LedgerMessage.LedgerStarted m) {
       lostAnswers.add(m.askedNonce());
     }
@@ -242,6 +255,23 @@
     }
   }
 
+  /**
+   * No write may hold the start record of a call that was refused before, unless a forwarded
+   * message about it can come late.
+   */
+  private void checkApplied(JsonNode content) {
+    for (JsonNode r : content.path("recent")) {
+      String nonce = r.path("nonce").asText();
+      if (r.path("state").asText().equals("STARTED") && !forwarded.contains(nonce)) {
+        boolean refused =
+            calls.stream()
+                .anyMatch(
+                    c -> c.attempt.nonce().equals(nonce) && c.reply instanceof KeyedReply.NotRun);
+        message("start record after the refusal of " + nonce).that(refused).isFalse();
+      }
+    }
+  }
+
   /** Whether a start record of the attempt is left that its living starter could have cancelled. */
   private boolean holdsKey(FakeCall call) {
     String started = "\"state\":\"STARTED\",\"nonce\":\"" + call.attempt.nonce() + "\"";
--- /dev/null
+++ b/core/src/test/java/org/mustardlatch/core/orders/OrderLeaseTest.java
@@ -0,0 +1,101 @@
+package org.mustardlatch.core.orders;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Guards against two holders that both believe that they may send. */
+class OrderLeaseTest {
+  private static final LeaseTimes TIMES = LeaseTimes.DEFAULT;
+  private static final long SECOND = Duration.ofSeconds(1).toNanos();
+
+  private final List<LeaseCommand> commands = new ArrayList<>();
+  private final OrderLease lease = new OrderLease(TIMES, "me");
+
+  @Test
+  void freeLeaseIsTakenAndItsVersionIsTheToken() {
+    acquire(0);
+    assertThat(lease.tokenForSending(0)).hasValue(5);
+  }
+
+  @Test
+  void holderThatWasPausedSendsNothingEvenIfNobodyTookOver() {
+    acquire(0);
+    long enough = TIMES.term().minus(TIMES.sendTimeout()).minus(TIMES.margin()).toNanos();
+    assertThat(lease.tokenForSending(enough - 1)).hasValue(5);
+    assertThat(lease.tokenForSending(enough)).isEmpty();
+  }
+
+  @Test
+  void successorWaitsForTermAndMarginFromTheFirstSightOfTheVersion() {
+    handle(new LeaseEvent.Wanted(true), 0);
+    handle(new LeaseEvent.ReadFinished(4, "other"), 1);
+    long free = 1 + TIMES.term().plus(TIMES.margin()).toNanos();
+    handle(new LeaseEvent.Woken(), free - 1);
+    handle(new LeaseEvent.ReadFinished(4, "other"), free - 1);
+    assertThat(writes()).isEmpty();
+    handle(new LeaseEvent.Woken(), free);
+    handle(new LeaseEvent.ReadFinished(4, "other"), free);
+    assertThat(writes()).containsExactly(new LeaseCommand.Write(4, "me"));
+  }
+
+  @Test
+  void renewalOfTheHolderStartsTheSuccessorsWaitAgain() {
+    handle(new LeaseEvent.Wanted(true), 0);
+    handle(new LeaseEvent.ReadFinished(4, "other"), 0);
+    handle(new LeaseEvent.Woken(), 10 * SECOND);
+    handle(new LeaseEvent.ReadFinished(5, "other"), 10 * SECOND);
+    handle(new LeaseEvent.Woken(), 20 * SECOND);
+    handle(new LeaseEvent.ReadFinished(5, "other"), 20 * SECOND);
+    assertThat(writes()).isEmpty();
+  }
+
+  @Test
+  void lostAnswerOfARenewalThatWasNotAppliedDoesNotExtendTheTerm() {
+    acquire(0);
+    handle(new LeaseEvent.Woken(), 6 * SECOND);
+    handle(new LeaseEvent.WriteFailed(), 7 * SECOND);
+    handle(new LeaseEvent.Woken(), 8 * SECOND);
+    handle(new LeaseEvent.ReadFinished(5, "me"), 8 * SECOND);
+    assertThat(lease.tokenForSending(9 * SECOND)).isEmpty();
+  }
+
+  @Test
+  void lostAnswerOfARenewalThatWasAppliedExtendsTheTermFromItsSending() {
+    acquire(0);
+    handle(new LeaseEvent.Woken(), 6 * SECOND);
+    handle(new LeaseEvent.WriteFailed(), 7 * SECOND);
+    handle(new LeaseEvent.Woken(), 8 * SECOND);
+    handle(new LeaseEvent.ReadFinished(6, "me"), 8 * SECOND);
+    assertThat(lease.tokenForSending(14 * SECOND)).hasValue(6);
+    assertThat(lease.tokenForSending(15 * SECOND)).isEmpty();
+  }
+
+  @Test
+  void holderWhoseLeaseWasTakenOverStopsAtOnce() {
+    acquire(0);
+    handle(new LeaseEvent.Woken(), 6 * SECOND);
+    handle(new LeaseEvent.WriteFailed(), 6 * SECOND);
+    handle(new LeaseEvent.Woken(), 8 * SECOND);
+    handle(new LeaseEvent.ReadFinished(9, "other"), 8 * SECOND);
+    assertThat(lease.tokenForSending(8 * SECOND)).isEmpty();
+  }
+
+  private void acquire(long nowNanos) {
+    handle(new LeaseEvent.Wanted(true), nowNanos);
+    handle(new LeaseEvent.ReadFinished(0, ""), nowNanos);
+    handle(new LeaseEvent.WriteStored(5), nowNanos);
+    assertThat(commands).contains(new LeaseCommand.Acquired());
+  }
+
+  private void handle(LeaseEvent event, long nowNanos) {
+    lease.handle(event, nowNanos, commands::add);
+  }
+
+  private List<LeaseCommand> writes() {
+    return commands.stream().filter(c -> c instanceof LeaseCommand.Write).toList();
+  }
+}
--- a/daemon/src/test/java/org/mustardlatch/daemon/ledger/LedgerServiceTest.java
+++ b/daemon/src/test/java/org/mustardlatch/daemon/ledger/LedgerServiceTest.java
@@ -134,15 +134,14 @@
   }
 
   @Test
-  void startsThatArriveDuringAWriteShareTheNextOne() throws Exception {
-    standin.setFaults(ObjectServiceFaults.slow(100));
+  void startsThatArriveDuringACallShareTheNextWrite() throws Exception {
     startFortyOnOneShard(a, a);
-    assertThat(standin.calls("put")).isAtMost(3);
+    assertThat(standin.calls("put")).isEqualTo(1);
   }
 
   @Test
-  void startsOfTwoNodesShareTheWritesOfTheOwner() throws Exception {
-    standin.setFaults(ObjectServiceFaults.slow(100));
+  void startsOfTwoNodesShareTheWriteOfTheOwner() throws Exception {
+    KeyedPolicy patient = new KeyedPolicy(LONG, LONG, LONG);
     Map<HostId, LedgerService> nodes = new ConcurrentHashMap<>();
     List<LedgerService> both = new ArrayList<>();
     for (String name : List.of("a", "b")) {
@@ -153,21 +152,24 @@
               target.receive(new HostId(name), 1, message);
             }
           };
-      both.add(node(name, Optional.of(peers)));
+      both.add(node(name, Optional.of(peers), patient));
       nodes.put(new HostId(name), both.getLast());
     }
     startFortyOnOneShard(both.get(0), both.get(1));
-    assertThat(standin.calls("put")).isAtMost(3);
+    assertThat(standin.calls("put")).isEqualTo(1);
   }
 
   @Test
   void nodeWritesDirectlyWhenTheOwnerDoesNotAnswer() throws Exception {
+    KeyedPolicy hasty = new KeyedPolicy(Duration.ofMillis(50), LONG, LONG);
     LedgerPeers silent = (to, message) -> {};
-    startFortyOnOneShard(node("a", Optional.of(silent)), node("b", Optional.of(silent)));
+    startFortyOnOneShard(
+        node("a", Optional.of(silent), hasty), node("b", Optional.of(silent), hasty));
   }
 
-  private static void startFortyOnOneShard(LedgerService first, LedgerService second)
-      throws Exception {
+  /** Holds the object service until both nodes have taken all starts. */
+  private void startFortyOnOneShard(LedgerService first, LedgerService second) throws Exception {
+    standin.setFaults(ObjectServiceFaults.slow(60_000));
     List<KeyedCall> calls = new ArrayList<>();
     for (int i = 0; calls.size() < 40; i++) {
       String key = "k" + i;
@@ -175,6 +177,10 @@
         calls.add(begin(calls.size() % 2 == 0 ? first : second, key, "d"));
       }
     }
+    for (LedgerService node : List.of(first, second, first, second)) {
+      assertThat(get(node.drain(Duration.ZERO))).isFalse(); // runs after what was queued before
+    }
+    standin.setFaults(ObjectServiceFaults.NONE);
     for (KeyedCall call : calls) {
       assertThat(get(call.mayDispatch())).isTrue();
     }
@@ -198,10 +204,10 @@
   }
 
   private LedgerService node(String name) {
-    return node(name, Optional.empty());
+    return node(name, Optional.empty(), KeyedPolicy.DEFAULT);
   }
 
-  private LedgerService node(String name, Optional<LedgerPeers> peers) {
+  private LedgerService node(String name, Optional<LedgerPeers> peers, KeyedPolicy policy) {
     ObjectStoreClient client =
         new ObjectStoreClient(
             URI.create(standin.url()),
@@ -215,7 +221,7 @@
                 new HostId(name),
                 Optional.of(new RegionId("r")),
                 () -> LedgerLimits.of(Duration.ofHours(24), 300),
-                KeyedPolicy.DEFAULT),
+                policy),
             BOTH,
             client,
             peers,
--- a/standin/src/main/java/org/mustardlatch/standin/ObjectServiceStandin.java
+++ b/standin/src/main/java/org/mustardlatch/standin/ObjectServiceStandin.java
@@ -45,6 +45,7 @@
   private final CallLimit readLimit = new CallLimit();
   private final AtomicInteger answersToDrop = new AtomicInteger();
   private volatile ObjectServiceFaults faults = ObjectServiceFaults.NONE;
+  private volatile CountDownLatch faultsReplaced = new CountDownLatch(1);
   private volatile boolean stopping;
   private @Nullable Javalin server;
 
@@ -74,10 +75,13 @@
     return "http://127.0.0.1:" + server.port();
   }
 
-  /** Replaces the fault switches; calls that are already waiting keep theirs. */
+  /** Replaces the fault switches; calls that are being delayed go on at once under the new ones. */
   public void setFaults(ObjectServiceFaults next) {
+    CountDownLatch replaced = faultsReplaced;
+    faultsReplaced = new CountDownLatch(1);
     answersToDrop.set(next.dropAnswers());
     faults = next;
+    replaced.countDown();
   }
 
   /** Returns how often an operation was called: get, put, delete, list or watch. */
@@ -200,11 +204,7 @@
   private boolean admit(Context ctx, String operation, CallLimit limit, int perSecond)
       throws InterruptedException {
     counters.computeIfAbsent(operation, o -> new LongAdder()).increment();
-    ObjectServiceFaults current = faults;
-    if (current.delayMillis() > 0) {
-      boolean never = new CountDownLatch(1).await(current.delayMillis(), TimeUnit.MILLISECONDS);
-      assert !never;
-    }
+    boolean unused = faultsReplaced.await(faults.delayMillis(), TimeUnit.MILLISECONDS);
     if (faults.down()) {
       closeConnection(ctx);
       return false;
