--- a/core/src/main/java/org/mustardlatch/core/routing/EntrySide.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/EntrySide.java
@@ -1,10 +1,7 @@
 package org.mustardlatch.core.routing;
 
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import org.jspecify.annotations.Nullable;
 import org.mustardlatch.core.error.ErrorCode;
 import org.mustardlatch.core.manifest.Manifest;
@@ -21,28 +18,19 @@
 import org.mustardlatch.core.peer.AdmissionMessage.ReserveRefused;
 import org.mustardlatch.core.peer.AdmissionMessage.Stage;
 import org.mustardlatch.core.peer.EvidenceMessage.RunPermission;
-import org.mustardlatch.core.peer.EvidenceMessage.RunRequest;
 import org.mustardlatch.core.quarantine.CrashEvidence;
 import org.mustardlatch.core.quarantine.CrashEvidence.Standing;
+import org.mustardlatch.core.routing.RequestTable.Found;
 
 /** The requests of this node's callers, from arrival to the one final answer. */
-final class EntrySide {
+final class EntrySide implements AttemptStarter.Ends {
   static final String TIMER = "request";
 
-  private static final long PERMISSION_TIMEOUT_NANOS = 100_000_000;
-  private static final long PERMISSION_WAIT_NANOS = 200_000_000;
-  private static final int MAX_PERMISSION_ASKS = 3;
-
   /** KV caches with less time left than this are not given to another decode engine. */
   private static final long MIN_KV_LIFE_NANOS = 150_000_000;
 
-  private static final long FIRST_RENEW_NANOS = 1_000_000_000;
-  private static final long RENEW_NANOS = 9_000_000_000L;
-  private static final int STALL_FACTOR = 10;
-  private static final int MAX_ATTEMPTS = 8;
-  private static final int MAX_LOCAL_CELLS = 2;
-  private static final int ANSWER_BYTES_PER_TOKEN = 5;
-  private static final Duration LATER = Duration.ofSeconds(1);
+  static final int MAX_ATTEMPTS = 8;
+  static final Duration LATER = Duration.ofSeconds(1);
 
   private final Effects fx;
   private final NodeSettings settings;
@@ -54,10 +42,11 @@
   private final CellChooser chooser;
   private final AttemptDriver driver;
   private final AttemptTimes times;
+  private final AttemptStarter starter;
   private final UnitBudget retries = new UnitBudget(10, 40);
   private final UnitBudget hedges = new UnitBudget(1, 5);
-  private final CrossRegionBudget crossing = new CrossRegionBudget();
-  private final Map<RequestId, EntryRequest> requests = new HashMap<>();
+  private final Crossing crossing;
+  private final RequestTable requests = new RequestTable();
   private Topology topology;
   private boolean draining;
 
@@ -76,8 +65,10 @@
     this.times = new AttemptTimes(settings, region);
     this.spread = new RetrySpread(env.random());
     this.chooser = new CellChooser(region, env.random());
+    this.crossing = new Crossing(fx, settings, chooser);
     this.topology = topology;
     this.driver = new AttemptDriver(fx, topology);
+    this.starter = new AttemptStarter(env, evidenceSide, chooser, crossing, driver, region, this);
   }
 
   int size() {
@@ -85,28 +76,7 @@
   }
 
   boolean holds(String attempt) {
-    int dot = attempt.lastIndexOf('.');
-    if (dot <= 0) {
-      return false;
-    }
-    for (EntryRequest q : findByName(attempt.substring(0, dot))) {
-      for (Attempt a : q.live()) {
-        if (a.id.toString().equals(attempt)) {
-          return true;
-        }
-      }
-    }
-    return false;
-  }
-
-  private List<EntryRequest> findByName(String name) {
-    try {
-      EntryRequest q = requests.get(new RequestId(name));
-      return q == null ? List.of() : List.of(q);
-    } catch (IllegalArgumentException e) {
-      // An engine may report names that are none of ours.
-      return List.of();
-    }
+    return requests.holds(attempt);
   }
 
   void drain() {
@@ -116,12 +86,13 @@
   void topologyChanged(Topology next) {
     topology = next;
     driver.topologyChanged(next);
+    starter.topologyChanged(next);
     chooser.keep(next);
     Manifest manifest = settings.manifest();
     if (manifest != null) {
       crossing.configure(manifest.link(), next.membersIn(region));
     }
-    for (EntryRequest q : new ArrayList<>(requests.values())) {
+    for (EntryRequest q : requests.all()) {
       for (Attempt a : q.live()) {
         driver.ownerChanged(q, a);
       }
@@ -130,11 +101,10 @@
   }
 
   void arrived(GenerationRequest request) {
-    if (requests.containsKey(request.id())) {
+    EntryRequest q = requests.add(request, fx.now());
+    if (q == null) {
       return;
     }
-    EntryRequest q = new EntryRequest(request, fx.now());
-    requests.put(request.id(), q);
     Model model = topology.model(request.model());
     if (draining) {
       refuse(q, ErrorCode.DRAINING, "this node is draining; the request did not run", LATER);
@@ -149,7 +119,7 @@
     } else {
       retries.earn(settings.limits().retryBudgetFraction());
       hedges.earn(settings.limits().hedgeBudgetFraction());
-      begin(q);
+      starter.begin(q);
     }
   }
 
@@ -161,133 +131,26 @@
     }
   }
 
-  // ---- starting attempts ----
-
-  /** Starts an attempt with a prefill, after the permission that a suspect needs. */
-  private void begin(EntryRequest q) {
-    long now = fx.now();
-    if (now >= q.request.finalDeadlineNanos()) {
-      refuse(q, ErrorCode.DEADLINE_EXCEEDED, "the final deadline passed", Duration.ZERO);
-      return;
-    }
-    Standing standing = evidence.standing(q.request.fingerprint(), now);
-    if (standing == Standing.QUARANTINED) {
-      quarantined(q);
-    } else if (standing == Standing.SUSPECT && !q.permitted) {
-      askPermission(q);
-    } else {
-      attempt(q);
-    }
-  }
-
-  private void attempt(EntryRequest q) {
-    Cell cell = chooser.local(topology, q.request.model(), q.refusedCells);
-    if (cell == null || q.refusedCells.size() >= MAX_LOCAL_CELLS) {
-      cross(q, ErrorCode.UPSTREAM_UNAVAILABLE, LATER);
-      return;
-    }
-    launch(q, cell, null);
-  }
-
-  private void launch(EntryRequest q, Cell cell, @Nullable KvHandle inherited) {
-    Attempt a = new Attempt(q.nextAttempt(), cell, inherited);
-    q.current = a;
-    a.enter(Attempt.State.ASKING, fx.now());
-    if (driver.askNext(q, a)) {
-      arm(q);
-    } else {
-      q.current = null;
-      cellRefused(q, cell.name(), ErrorCode.UPSTREAM_UNAVAILABLE, LATER);
-    }
-  }
-
-  /** Asks the other region when the local cells refused, or gives up. */
-  private void cross(EntryRequest q, ErrorCode code, Duration retryAfter) {
-    Cell cell = chooser.remote(topology, q.request.model(), q.refusedCells, fx.now());
-    if (cell != null && q.attempts() < MAX_ATTEMPTS) {
-      double bytes =
-          q.request.promptBytes() + (double) ANSWER_BYTES_PER_TOKEN * q.remainingTokens();
-      if (crossing.take(bytes * settings.tuning().crossingCost(), fx.now())) {
-        fx.explain(q.request.id(), "cross_region", "cell=" + cell.name() + " bytes=" + bytes);
-        q.crossed = true;
-        launch(q, cell, null);
-        return;
-      }
-      fx.explain(q.request.id(), "cross_region_budget", "no budget for " + bytes + " bytes");
-    }
-    refuse(q, code, "no cell can meet the first-token deadline", retryAfter);
-  }
-
-  private void cellRefused(EntryRequest q, String cell, ErrorCode code, Duration retryAfter) {
-    q.refusedCells.add(cell);
-    boolean more =
-        q.refusedCells.size() < MAX_LOCAL_CELLS
-            && chooser.local(topology, q.request.model(), q.refusedCells) != null;
-    if (more) {
-      attempt(q);
-    } else {
-      cross(q, code, retryAfter);
-    }
-  }
-
-  private void askPermission(EntryRequest q) {
-    q.waitsForPermission = true;
-    List<HostId> owners = evidenceSide.owners(q.request.fingerprint());
-    if (owners.isEmpty() || q.permissionAsks >= MAX_PERMISSION_ASKS) {
-      // No owner answers; the admitting node still keeps suspects apart.
-      permitted(q);
-      return;
-    }
-    HostId owner = owners.get(q.permissionAsks % owners.size());
-    q.permissionAsks++;
-    fx.send(owner, new RunRequest(q.request.fingerprint(), q.request.id().value()));
-    fx.timer(TIMER, q.request.id().value(), fx.now() + PERMISSION_TIMEOUT_NANOS);
-  }
+  // ---- answers of admitting nodes ----
 
-  void permission(RunPermission answer) {
-    for (EntryRequest q : findByName(answer.attempt())) {
-      if (!q.waitsForPermission) {
-        return;
-      }
-      switch (answer.verdict()) {
-        case RUN -> permitted(q);
-        case QUARANTINED -> quarantined(q);
-        case WAIT -> {
-          q.permissionAsks = 0;
-          if (fx.now() >= q.request.firstTokenDeadlineNanos()) {
-            refuse(q, ErrorCode.OVERLOADED, "the same request is being examined", LATER);
-          } else {
-            fx.timer(TIMER, q.request.id().value(), fx.now() + PERMISSION_WAIT_NANOS);
-          }
-        }
-      }
+  /** Withdraws the ask of an attempt that is not needed because the other one was granted. */
+  private void keepOnly(EntryRequest q, Attempt granted) {
+    Attempt other = granted == q.current ? q.hedge : q.current;
+    if (other != null && !other.granted()) {
+      driver.cancel(other, Outcome.CANCELLED, false);
+      q.current = granted;
+      q.hedge = null;
     }
+    q.crossingCost = 0;
   }
 
-  private void permitted(EntryRequest q) {
-    q.waitsForPermission = false;
-    q.permitted = true;
-    q.suspectRun = true;
-    fx.explain(q.request.id(), "suspect_permitted", "one attempt after a crash");
-    attempt(q);
-  }
-
-  private void quarantined(EntryRequest q) {
-    String detail = "its content was on two engines that crashed";
-    refuse(q, ErrorCode.REQUEST_QUARANTINED, detail, Duration.ZERO);
-  }
-
-  // ---- answers of admitting nodes ----
-
   void summary(CellSummary summary) {
     chooser.learn(summary, fx.now());
   }
 
   void granted(HostId from, ReserveGranted grant) {
     chooser.learn(grant.summary(), fx.now());
-    EntryRequest q = requests.get(grant.attempt().request());
-    Attempt a = q == null ? null : q.find(grant.attempt());
-    if (q == null || a == null) {
+    if (!(requests.find(grant.attempt()) instanceof Found(EntryRequest q, Attempt a))) {
       driver.decline(from, grant);
       return;
     }
@@ -308,19 +171,20 @@
     String detail = "cell=" + a.cell.name() + " prefill=" + grant.prefill();
     fx.explain(q.request.id(), "reserved", detail + " decode=" + grant.decode());
     q.refusedCells.clear();
+    keepOnly(q, a);
     driver.start(q, a, from, grant);
     arm(q);
   }
 
   void queued(HostId from, ReserveQueued answer) {
     chooser.learn(answer.summary(), fx.now());
-    EntryRequest q = requests.get(answer.attempt().request());
-    Attempt a = q == null ? null : q.find(answer.attempt());
-    if (q != null && a != null && !a.granted()) {
+    if (requests.find(answer.attempt()) instanceof Found(EntryRequest q, Attempt a)
+        && !a.granted()) {
       a.progressNanos = fx.now();
       if (a.state != Attempt.State.QUEUED) {
         a.enter(Attempt.State.QUEUED, fx.now());
         fx.explain(q.request.id(), "queued", "at " + from);
+        starter.askRemoteToo(q, a, answer.predictedWaitNanos());
       }
       arm(q);
     }
@@ -328,19 +192,26 @@
 
   void refused(ReserveRefused answer) {
     chooser.learn(answer.summary(), fx.now());
-    EntryRequest q = requests.get(answer.attempt().request());
-    Attempt a = q == null ? null : q.find(answer.attempt());
-    if (q == null || a == null || a.granted()) {
+    if (!(requests.find(answer.attempt()) instanceof Found(EntryRequest q, Attempt a))
+        || a.granted()) {
       return;
     }
     Duration after = Duration.ofNanos(answer.retryAfterNanos());
+    if (!a.cell.region().equals(region)) {
+      crossing.refused(q);
+    }
     if (a == q.hedge) {
       q.hedge = null;
       return;
     }
-    q.current = null;
+    q.current = q.hedge;
+    q.hedge = null;
+    if (q.current != null) {
+      q.refusedCells.add(a.cell.name());
+      return;
+    }
     if (answer.code() == ErrorCode.REQUEST_QUARANTINED) {
-      quarantined(q);
+      starter.quarantined(q);
       return;
     }
     fx.explain(q.request.id(), "cell_refused", a.cell.name() + " " + answer.code().wireName());
@@ -349,15 +220,14 @@
       retry(q, Failure.KV_EXPIRED);
       return;
     }
-    cellRefused(q, a.cell.name(), answer.code(), after);
+    starter.cellRefused(q, a.cell.name(), answer.code(), after);
   }
 
   // ---- events of upstreams ----
 
   void prefillFinished(AttemptId id, KvHandle handle) {
-    EntryRequest q = requests.get(id.request());
-    Attempt a = q == null ? null : q.find(id);
-    if (q == null || a == null || a.state != Attempt.State.PREFILL) {
+    if (!(requests.find(id) instanceof Found(EntryRequest q, Attempt a))
+        || a.state != Attempt.State.PREFILL) {
       fx.emit(new RoutingCommand.ReleaseKv(handle));
       return;
     }
@@ -371,6 +241,10 @@
       refuse(q, ErrorCode.DEADLINE_EXCEEDED, detail, LATER);
       return;
     }
+    if (fx.now() >= handle.expiresNanos()) {
+      failed(q, a, a.prefill, Failure.KV_EXPIRED);
+      return;
+    }
     driver.startDecode(q, a, handle);
     driver.renew(q, a, Stage.TRANSFER);
     arm(q);
@@ -388,27 +262,24 @@
   }
 
   void prefillFailed(AttemptId id, Failure failure) {
-    EntryRequest q = requests.get(id.request());
-    Attempt a = q == null ? null : q.find(id);
-    if (q != null && a != null && a.state == Attempt.State.PREFILL) {
+    if (requests.find(id) instanceof Found(EntryRequest q, Attempt a)
+        && a.state == Attempt.State.PREFILL) {
       failed(q, a, a.prefill, failure);
     }
   }
 
   void decodeStarted(AttemptId id) {
-    EntryRequest q = requests.get(id.request());
-    Attempt a = q == null ? null : q.find(id);
-    if (q != null && a != null && a.state == Attempt.State.TRANSFER) {
+    if (requests.find(id) instanceof Found(EntryRequest q, Attempt a)
+        && a.state == Attempt.State.TRANSFER) {
       a.enter(Attempt.State.DECODE, fx.now());
+      DecodeWatch.begin(q, a, fx.now());
       driver.renew(q, a, Stage.DECODE);
       arm(q);
     }
   }
 
   void tokensArrived(AttemptId id, int count) {
-    EntryRequest q = requests.get(id.request());
-    Attempt a = q == null ? null : q.find(id);
-    if (q == null || a == null) {
+    if (!(requests.find(id) instanceof Found(EntryRequest q, Attempt a))) {
       return;
     }
     if (a.state == Attempt.State.TRANSFER) {
@@ -419,9 +290,7 @@
   }
 
   void decodeFinished(AttemptId id) {
-    EntryRequest q = requests.get(id.request());
-    Attempt a = q == null ? null : q.find(id);
-    if (q != null && a != null && a.granted()) {
+    if (requests.find(id) instanceof Found(EntryRequest q, Attempt a) && a.granted()) {
       complete(q, a);
     }
   }
@@ -438,9 +307,9 @@
   }
 
   void decodeFailed(AttemptId id, Failure failure) {
-    EntryRequest q = requests.get(id.request());
-    Attempt a = q == null ? null : q.find(id);
-    if (q != null && a != null && a.granted() && a.state != Attempt.State.PREFILL) {
+    if (requests.find(id) instanceof Found(EntryRequest q, Attempt a)
+        && a.granted()
+        && a.state != Attempt.State.PREFILL) {
       if (q.remainingTokens() == 0) {
         complete(q, a);
       } else {
@@ -480,7 +349,7 @@
       arm(q);
     } else if (reuse && handle != null) {
       fx.explain(q.request.id(), "decode_reassigned", "KV cache of " + handle.source());
-      launch(q, a.cell, handle);
+      starter.launch(q, a.cell, handle);
     } else {
       retry(q, failure);
     }
@@ -513,14 +382,22 @@
     } else {
       String rule = q.tokensSent > 0 ? "continued" : "retried";
       fx.explain(q.request.id(), rule, "after " + failure + ", tokens=" + q.tokensSent);
-      begin(q);
+      starter.begin(q);
+    }
+  }
+
+  void permission(RunPermission answer) {
+    EntryRequest q = requests.byName(answer.attempt());
+    if (q != null) {
+      starter.permission(q, answer.verdict());
     }
   }
 
   // ---- time ----
 
   void timer(String subject) {
-    for (EntryRequest q : findByName(subject)) {
+    EntryRequest q = requests.byName(subject);
+    if (q != null) {
       check(q);
     }
   }
@@ -535,10 +412,14 @@
       if (q.tokensSent == 0 && now >= q.request.firstTokenDeadlineNanos()) {
         refuse(q, ErrorCode.OVERLOADED, "the same request is being examined", LATER);
       } else {
-        askPermission(q);
+        starter.askPermission(q);
       }
       return;
     }
+    if (q.current == null) {
+      starter.begin(q);
+      return;
+    }
     for (Attempt a : q.live()) {
       if (q.find(a.id) == a) {
         check(q, a);
@@ -565,7 +446,13 @@
           failed(q, a, a.decode, Failure.STALLED);
         }
       }
-      case DECODE -> checkDecode(q, a);
+      case DECODE -> {
+        switch (DecodeWatch.look(q, a, now)) {
+          case FINE -> {}
+          case RENEW -> driver.renew(q, a, Stage.DECODE);
+          case STALLED -> failed(q, a, a.decode, Failure.STALLED);
+        }
+      }
     }
   }
 
@@ -581,7 +468,7 @@
     }
     q.current = null;
     fx.explain(q.request.id(), "no_admitting_node", "cell=" + a.cell.name());
-    cellRefused(q, a.cell.name(), ErrorCode.UPSTREAM_UNAVAILABLE, LATER);
+    starter.cellRefused(q, a.cell.name(), ErrorCode.UPSTREAM_UNAVAILABLE, LATER);
   }
 
   private void checkQueued(EntryRequest q, Attempt a) {
@@ -602,21 +489,38 @@
     if (now > times.latestUseful(q, a)) {
       fx.explain(q.request.id(), "prefill_late", "cancelled before decode");
       refuse(q, ErrorCode.DEADLINE_EXCEEDED, "prefill took too long", LATER);
-    } else if (!a.extended && now >= AttemptTimes.hedgeAt(a)) {
+    } else if (!a.extended && now >= times.lateAt(a)) {
       a.extended = true;
       driver.renew(q, a, Stage.PREFILL);
-      hedge(q, a);
+      boolean inTime = now + a.predictedNanos() < q.request.firstTokenDeadlineNanos();
+      if (a == q.current && q.hedge == null && q.tokensSent == 0 && inTime) {
+        if (settings.tuning().hedges()) {
+          hedge(q, a);
+        } else {
+          move(q, a);
+        }
+      }
     }
   }
 
-  /** Starts a second attempt for a late prefill when another engine can still be in time. */
-  private void hedge(EntryRequest q, Attempt a) {
-    long predicted = a.predictedNanos();
-    boolean inTime = fx.now() + predicted < q.request.firstTokenDeadlineNanos();
-    if (!settings.tuning().hedges() || q.hedged || q.tokensSent > 0 || !inTime) {
+  /** Cancels a late prefill and starts it elsewhere, which wastes less than running it twice. */
+  private void move(EntryRequest q, Attempt a) {
+    if (q.hedged || !retries.take()) {
       return;
     }
-    if (a != q.current || a.prefill == null || !hedges.take()) {
+    q.hedged = true;
+    fx.explain(q.request.id(), "late_prefill_moved", "from " + a.prefill);
+    if (a.prefill != null) {
+      q.excluded.add(a.prefill);
+    }
+    driver.cancel(a, Outcome.CANCELLED, false);
+    q.current = null;
+    starter.begin(q);
+  }
+
+  /** Starts a second attempt for a late prefill when another engine can still be in time. */
+  private void hedge(EntryRequest q, Attempt a) {
+    if (q.hedged || a.prefill == null || !hedges.take()) {
       return;
     }
     q.hedged = true;
@@ -629,22 +533,12 @@
     }
   }
 
-  private void checkDecode(EntryRequest q, Attempt a) {
-    long now = fx.now();
-    long gap = a.cell.model().tokenGapTarget().toNanos();
-    if (now - a.progressNanos >= Math.max(AttemptTimes.MIN_STALL_NANOS, STALL_FACTOR * gap)) {
-      failed(q, a, a.decode, Failure.STALLED);
+  @Override
+  public void arm(EntryRequest q) {
+    if (q.live().isEmpty()) {
+      // It waits for a permission or for the end of a pause, which set their own timer.
       return;
     }
-    long interval = a.extended ? RENEW_NANOS : FIRST_RENEW_NANOS;
-    boolean slow = now - a.progressNanos >= 3 * gap;
-    if (now - a.renewedNanos >= interval || (slow && now - a.renewedNanos >= FIRST_RENEW_NANOS)) {
-      a.extended = true;
-      driver.renew(q, a, Stage.DECODE);
-    }
-  }
-
-  private void arm(EntryRequest q) {
     long at = q.request.finalDeadlineNanos();
     for (Attempt a : q.live()) {
       at = Math.min(at, times.nextCheck(q, a, fx.now()));
@@ -656,7 +550,8 @@
 
   /** Cancels all attempts, which other nodes may have reclaimed, and starts afresh. */
   void fence() {
-    for (EntryRequest q : new ArrayList<>(requests.values())) {
+    starter.settle();
+    for (EntryRequest q : requests.all()) {
       for (Attempt a : q.live()) {
         driver.cancel(a, Outcome.CANCELLED, false);
       }
@@ -667,12 +562,29 @@
       if (late) {
         refuse(q, ErrorCode.DEADLINE_EXCEEDED, "the node was paused", LATER);
       } else if (!q.waitsForPermission) {
-        begin(q);
+        starter.begin(q);
+      }
+    }
+  }
+
+  /** Replaces the asks that were made before a pause, so that old grants are not used. */
+  void askAfresh() {
+    starter.settle();
+    for (EntryRequest q : requests.all()) {
+      for (Attempt a : q.live()) {
+        if (!a.granted() && a.inherited == null) {
+          driver.cancel(a, Outcome.CANCELLED, false);
+          q.drop(a);
+        }
+      }
+      if (q.live().isEmpty() && !q.waitsForPermission) {
+        starter.begin(q);
       }
     }
   }
 
-  private void refuse(EntryRequest q, ErrorCode code, String detail, Duration retryAfter) {
+  @Override
+  public void refuse(EntryRequest q, ErrorCode code, String detail, Duration retryAfter) {
     fx.explain(q.request.id(), "refused_" + code.wireName(), detail);
     fx.emit(new RoutingCommand.Refuse(q.request.id(), code, detail, retryAfter));
     close(q, Outcome.CANCELLED);
