--- a/core/src/main/java/org/mustardlatch/core/ledger/ShardWriter.java
+++ b/core/src/main/java/org/mustardlatch/core/ledger/ShardWriter.java
@@ -1,5 +1,6 @@
 package org.mustardlatch.core.ledger;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -56,6 +57,19 @@
     budget = new WriteBudget(limits.writesPerSecond() / LedgerKey.SHARDS, LedgerLimits.WRITE_BURST);
   }
 
+  /**
+   * Returns whether this release can read the content of a shard object. What it can't read is
+   * never overwritten, and starts on it are refused.
+   */
+  public static boolean canRead(JsonNode content) {
+    try {
+      LedgerCodec.decode(content);
+      return true;
+    } catch (IllegalArgumentException e) {
+      return false;
+    }
+  }
+
   /** Returns whether nothing is pending, so that the writer can be dropped without loss. */
   public boolean idle() {
     return pending.isEmpty() && phase == Phase.IDLE;
--- a/daemon/src/main/java/org/mustardlatch/daemon/ledger/LedgerService.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/ledger/LedgerService.java
@@ -10,17 +10,14 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
 import org.mustardlatch.core.ledger.Attempt;
 import org.mustardlatch.core.ledger.KeyAge;
 import org.mustardlatch.core.ledger.KeyedEvent;
-import org.mustardlatch.core.ledger.KeyedPolicy;
 import org.mustardlatch.core.ledger.KeyedReply;
 import org.mustardlatch.core.ledger.KeyedTimer;
 import org.mustardlatch.core.ledger.LedgerKey;
-import org.mustardlatch.core.ledger.LedgerLimits;
 import org.mustardlatch.core.ledger.LedgerNode;
 import org.mustardlatch.core.ledger.LedgerOutput;
 import org.mustardlatch.core.ledger.Now;
@@ -83,34 +80,6 @@
             settings.self(), noncePrefix, settings.limits(), settings.policy(), new Output());
   }
 
-  /**
-   * Creates the service of a node that writes every shard itself.
-   *
-   * @param self this node
-   * @param membership the incarnation of this node
-   * @param store client of the object service
-   * @param limits limits from the manifest in force; see {@link LedgerSettings}
-   * @param policy waiting times
-   * @param wallClock for the times in records only
-   * @param random names attempts; must not repeat between processes, so use a secure one
-   */
-  public LedgerService(
-      HostId self,
-      Membership membership,
-      ObjectStoreClient store,
-      Supplier<LedgerLimits> limits,
-      KeyedPolicy policy,
-      InstantSource wallClock,
-      RandomGenerator random) {
-    this(
-        new LedgerSettings(self, Optional.empty(), limits, policy),
-        membership,
-        store,
-        Optional.empty(),
-        wallClock,
-        random);
-  }
-
   /** Starts the periodic removal of shards that are not used. */
   public void start() {
     loop.every(DROP_IDLE_SHARDS, node::dropIdleShards);
--- a/daemon/src/main/java/org/mustardlatch/daemon/ledger/StoreCalls.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/ledger/StoreCalls.java
@@ -7,6 +7,7 @@
 import java.util.function.Consumer;
 import org.mustardlatch.core.ledger.LedgerKey;
 import org.mustardlatch.core.ledger.ShardEvent;
+import org.mustardlatch.core.ledger.ShardWriter;
 import org.mustardlatch.daemon.log.EventLog;
 import org.mustardlatch.daemon.log.LogEvent;
 import org.mustardlatch.daemon.node.EventLoop;
@@ -45,6 +46,10 @@
   private ShardEvent toEvent(int shard, ReadResult result) {
     return switch (result) {
       case ReadResult.Found f -> {
+        if (!ShardWriter.canRead(f.object().spec())) {
+          failed(shard, "content is not of a format that this release can read");
+          yield new ShardEvent.ReadFailed();
+        }
         worked(shard);
         yield new ShardEvent.ReadFinished(f.object().version(), f.object().spec());
       }
