Measure what a daemon adds; tell the difference on a manifest conflict

The direct calls first ended after 16 of 20 tokens: the daemon cancels held work of hosts that are not alive, and the benchmark named itself like one. It now uses a name that is no host name.

--- a/daemon/src/main/java/org/mustardlatch/daemon/node/ManifestService.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/node/ManifestService.java
@@ -5,9 +5,13 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 import org.mustardlatch.core.error.ErrorCode;
 import org.mustardlatch.core.error.MustardlatchException;
+import org.mustardlatch.core.error.ParseResult;
+import org.mustardlatch.core.manifest.Manifest;
+import org.mustardlatch.core.manifest.ManifestDiff;
 import org.mustardlatch.core.manifest.ManifestParser;
 import org.mustardlatch.core.time.TimerService;
 import org.mustardlatch.core.time.TimerSubscription;
@@ -82,7 +86,8 @@
 
   @Override
   public long publish(String text, long base) {
-    ManifestParser.parse("manifest", text).orThrow(ErrorCode.MANIFEST_INVALID);
+    Manifest offered =
+        ManifestParser.parse("manifest", text).orThrow(ErrorCode.MANIFEST_INVALID);
     PublishResult result = await(store.publish(base, text, SETTLE_TIME), base);
     return switch (result) {
       case PublishResult.Published p -> spread(p.revision(), text);
@@ -90,7 +95,8 @@
         stored(c.other());
         throw new MustardlatchException(
             ErrorCode.MANIFEST_CONFLICT,
-            "revision %d is the latest, not %d".formatted(c.other().revision(), base));
+            "revision %d is the latest, not %d; the offered manifest differs from it by:\n%s"
+                .formatted(c.other().revision(), base, difference(c.other().text(), offered)));
       }
       case PublishResult.Refused r ->
           throw new MustardlatchException(
@@ -111,6 +117,17 @@
     peers.manifestStored(revision.revision(), revision.text());
   }
 
+  private static String difference(String latest, Manifest offered) {
+    ParseResult<Manifest> result = ManifestParser.parse("latest", latest);
+    if (!result.isValid()) {
+      return "the latest can't be read";
+    }
+    Manifest before = result.orThrow(ErrorCode.MANIFEST_INVALID);
+    return ManifestDiff.between(before, offered).changes().stream()
+        .map(ManifestDiff.Change::toString)
+        .collect(Collectors.joining("\n"));
+  }
+
   private static MustardlatchException unknown(long revision, String reason) {
     return new MustardlatchException(
         ErrorCode.MANIFEST_UNKNOWN,
--- a/daemon/src/main/java/org/mustardlatch/daemon/operator/OperatorApi.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/operator/OperatorApi.java
@@ -13,6 +13,7 @@
 import org.mustardlatch.core.settings.SocketAddress;
 import org.mustardlatch.daemon.log.EventLog;
 import org.mustardlatch.daemon.log.LogEvent;
+import org.mustardlatch.daemon.node.AppliedManifest;
 import org.mustardlatch.daemon.node.HttpServer;
 import org.mustardlatch.daemon.node.ManifestInForce;
 import org.mustardlatch.daemon.node.ManifestPublisher;
@@ -109,13 +110,13 @@
   }
 
   private void manifestText(Context ctx) {
-    String text =
+    AppliedManifest applied =
         manifest
             .current()
             .orElseThrow(
-                () -> new MustardlatchException(ErrorCode.NOT_READY, "no manifest is in force"))
-            .text();
-    ctx.contentType("application/toml").result(text);
+                () -> new MustardlatchException(ErrorCode.NOT_READY, "no manifest is in force"));
+    ctx.header("X-Manifest-Revision", Long.toString(applied.revision()));
+    ctx.contentType("application/toml").result(applied.text());
   }
 
   private void publish(Context ctx) {
--- a/standin/src/main/java/org/mustardlatch/standin/OverheadBench.java
+++ b/standin/src/main/java/org/mustardlatch/standin/OverheadBench.java
@@ -23,6 +23,11 @@
 public final class OverheadBench {
   private static final MediaType JSON = MediaType.get("application/json");
   private static final int WARM_UP = 100;
+  private static final int STATUS_REFUSED = 503;
+
+  /** Not a valid host name, because daemons cancel the work of hosts that are not alive. */
+  private static final String OWNER = "(bench)/1";
+
   private static final int EXIT_USAGE = 2;
   private static final long MAX_MICROS = 60_000_000;
 
@@ -81,6 +86,10 @@
   private void read(Request request, String prompt, long start, Series series) throws IOException {
     StringBuilder answer = new StringBuilder();
     try (Response response = http.newCall(request).execute()) {
+      if (response.code() == STATUS_REFUSED) {
+        series.refused++;
+        return;
+      }
       long last = start;
       for (String line; (line = response.body().source().readUtf8Line()) != null; ) {
         if (!line.startsWith("data: {")) {
@@ -126,6 +135,7 @@
     node.put("first_token_p99_us", series.firstToken.getValueAtPercentile(99));
     node.put("gap_p50_us", series.gap.getValueAtPercentile(50));
     node.put("gap_p99_us", series.gap.getValueAtPercentile(99));
+    node.put("refused", series.refused);
   }
 
   private Duration daemonTime() {
@@ -142,7 +152,7 @@
     return new Request.Builder()
         .url(url + "/v1/completions")
         .header("X-Request-Id", attempt)
-        .header("X-Router-Incarnation", "bench/1")
+        .header("X-Router-Incarnation", OWNER)
         .post(RequestBody.create(body.toString(), JSON))
         .build();
   }
@@ -165,6 +175,7 @@
   private static final class Series {
     private final Histogram firstToken = new Histogram(MAX_MICROS, 3);
     private final Histogram gap = new Histogram(MAX_MICROS, 3);
+    private int refused;
   }
 
   private static final class Arguments {
