--- a/core/src/test/java/org/mustardlatch/core/ledger/FakeStore.java
+++ b/core/src/test/java/org/mustardlatch/core/ledger/FakeStore.java
@@ -22,11 +22,13 @@
   private long lastVersion;
   private long downUntil;
   private long slowUntil;
+  private final Consumer<JsonNode> onApplied;
   private boolean faulty = true;
 
   record Stored(String version, @Nullable JsonNode content) {}
 
-  FakeStore(VirtualTimerService time, RandomGenerator random) {
+  FakeStore(VirtualTimerService time, RandomGenerator random, Consumer<JsonNode> onApplied) {
+    this.onApplied = onApplied;
     this.time = time;
     this.random = random;
   }
@@ -85,6 +87,7 @@
     boolean matches = object(shard).version.equals(version);
     if (matches) {
       objects.put(shard, new Stored(Long.toString(++lastVersion), content));
+      onApplied.accept(content);
     }
     String stored = object(shard).version;
     if (!lost()) {
