Retry on the same engine when its pool has no other

Cause: a request excluded every engine that failed it, and an engine blocked for 150 ms after a refusal counted as no capacity, so in a cell with one engine of a role a refused prefill ended the request.

Exclusions are ignored once they cover all usable engines of a pool, and blocks of up to 300 ms count as waiting time.

--- a/core/src/main/java/org/mustardlatch/core/routing/EngineState.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/EngineState.java
@@ -11,6 +11,7 @@
   private static final long PREFILL_OVERHEAD_NANOS = 4_000_000;
   // A prefill past its predicted end is expected to take this share of its age on top.
   private static final double OVERDUE_SHARE = 0.3;
+  private static final long SOON_NANOS = 300_000_000;
   private static final int TOKENS_PER_PIECE = 1000;
   private static final int MIN_PREFIX_BLOCKS = 64;
 
@@ -57,6 +58,11 @@
     return !upstream.leaving() && now >= blockedUntilNanos && !leaving.contains(upstream.id(), now);
   }
 
+  /** Returns whether work can be sent now or after a short block, such as after a refusal. */
+  boolean usableSoon(LeavingUpstreams leaving, long now) {
+    return usable(leaving, Math.max(now, Math.min(blockedUntilNanos, now + SOON_NANOS)));
+  }
+
   /** Sends no work for a while. */
   void block(long now, long durationNanos) {
     blockedUntilNanos = Math.max(blockedUntilNanos, now + durationNanos);
--- a/core/src/main/java/org/mustardlatch/core/routing/Placer.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/Placer.java
@@ -123,8 +123,21 @@
     return new Placement(best, d, bestNominal, finish, first);
   }
 
+  /** Returns whether an engine failed this request, unless every usable one of its pool did. */
+  private boolean excluded(EngineState e, Ask ask, List<EngineState> pool, long now) {
+    if (!ask.excluded().contains(e.upstream.id())) {
+      return false;
+    }
+    for (EngineState other : pool) {
+      if (other.usable(leaving, now) && !ask.excluded().contains(other.upstream.id())) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   private boolean prefillRoom(EngineState e, Ask ask, boolean suspect, long now) {
-    if (!e.usable(leaving, now) || ask.excluded().contains(e.upstream.id())) {
+    if (!e.usable(leaving, now) || excluded(e, ask, prefills, now)) {
       return false;
     }
     if (e.freeSlots() == 0 || !e.hasMemory(ask.prefillPieces()) || (suspect && e.suspects > 0)) {
@@ -165,7 +178,7 @@
     EngineState best = null;
     double bestScore = Double.MAX_VALUE;
     for (EngineState e : decodes) {
-      if (!e.usable(leaving, now) || ask.excluded().contains(e.upstream.id())) {
+      if (!e.usable(leaving, now) || excluded(e, ask, decodes, now)) {
         continue;
       }
       int free = handover ? e.freeSlotsInHandover() : e.freeSlots();
@@ -247,7 +260,7 @@
     double sum = 0;
     for (EngineState e : prefills) {
       double ratio = e.prefillRatio(now);
-      if (e.usable(leaving, now) && !isStraggler(ratio, medianPrefill)) {
+      if (e.usableSoon(leaving, now) && !isStraggler(ratio, medianPrefill)) {
         sum += e.upstream.prefillTokensPerSecond() / 1e9 / ratio;
       }
     }
@@ -258,8 +271,9 @@
   long nextPrefillNanos(long now) {
     long best = Long.MAX_VALUE;
     for (EngineState e : prefills) {
-      if (e.usable(leaving, now)) {
-        best = Math.min(best, Math.max(0, e.backlogNanos(now) - LOOKAHEAD_NANOS));
+      if (e.usableSoon(leaving, now)) {
+        long blocked = Math.max(now, e.blockedUntilNanos) - now;
+        best = Math.min(best, Math.max(blocked, e.backlogNanos(now) - LOOKAHEAD_NANOS));
       }
     }
     return best;
@@ -268,7 +282,7 @@
   int freeDecodeSlots(long now) {
     int sum = 0;
     for (EngineState e : decodes) {
-      sum += e.usable(leaving, now) ? e.freeSlots() : 0;
+      sum += e.usableSoon(leaving, now) ? e.freeSlots() : 0;
     }
     return sum;
   }
@@ -276,7 +290,7 @@
   int usableDecodeSlots(long now) {
     int sum = 0;
     for (EngineState e : decodes) {
-      sum += e.usable(leaving, now) ? e.upstream.slots() : 0;
+      sum += e.usableSoon(leaving, now) ? e.upstream.slots() : 0;
     }
     return sum;
   }
--- a/core/src/test/java/org/mustardlatch/core/routing/NodeRouterTest.java
+++ b/core/src/test/java/org/mustardlatch/core/routing/NodeRouterTest.java
@@ -199,6 +199,19 @@
     assertThat(all(RoutingCommand.CancelHeld.class)).hasSize(2);
   }
 
+  @Test
+  void retriesOnTheSameEngineWhenThereIsNoOther() {
+    handle(
+        new RoutingEvent.ManifestApplied(
+            2, Fixtures.manifest(Objective.CREST_AVERSE, Fixtures.pools(1, 1))));
+    RoutingCommand.StartPrefill p = arrive("r1");
+    handle(new RoutingEvent.PrefillFailed(p.attempt(), Failure.REFUSED));
+    now += 200 * MILLI;
+    handle(new RoutingEvent.TimerFired(new TimerKey("cell", "label/oslo/0")));
+
+    assertThat(last(RoutingCommand.StartPrefill.class).attempt().number()).isEqualTo(2);
+  }
+
   @Test
   void givesAMixedEngineBothHalvesInOneSlot() {
     handle(
