--- a/wire/src/main/java/org/mustardlatch/wire/Link.java
+++ b/wire/src/main/java/org/mustardlatch/wire/Link.java
@@ -17,6 +17,7 @@
   private boolean connecting;
   private int failures;
   private long retryAtNanos;
+  private int silences;
 
   Link(PeerTransport transport, @Nullable HostId host) {
     this.transport = transport;
@@ -120,11 +121,25 @@
   synchronized void silent(PeerChannel channel) {
     if (current == channel) {
       current = null;
+      silences++;
       retryAtNanos = System.nanoTime();
       connectIfDue();
     }
   }
 
+  /** A frame of the peer arrived. */
+  synchronized void heard() {
+    silences = 0;
+  }
+
+  /**
+   * Returns how long a connection may be silent. Doubles with each connection that was replaced in
+   * vain, because handshakes with a peer that is merely slow make it slower.
+   */
+  synchronized long silentAfterNanos() {
+    return TransportLimits.SILENT_AFTER_NANOS << Math.min(silences, TransportLimits.MAX_DOUBLINGS);
+  }
+
   private void connectIfDue() {
     String to = address;
     if (!connecting && to != null && System.nanoTime() - retryAtNanos >= 0) {
--- a/wire/src/main/java/org/mustardlatch/wire/PeerChannel.java
+++ b/wire/src/main/java/org/mustardlatch/wire/PeerChannel.java
@@ -160,6 +160,7 @@
       host = from;
       transport.identified(this, from);
     }
+    transport.heard(this);
     switch (envelope.getBodyCase()) {
       case PING ->
           write(context.channel(), Envelope.newBuilder().setPong(Pong.getDefaultInstance()));
@@ -259,7 +260,7 @@
       }
       return;
     }
-    if (unanswered && now - unansweredSinceNanos > TransportLimits.SILENT_AFTER_NANOS) {
+    if (unanswered && now - unansweredSinceNanos > transport.silentAfterNanos(this)) {
       transport.counters().silentClosed.increment();
       transport.silent(this);
       close(c);
--- a/wire/src/main/java/org/mustardlatch/wire/PeerTransport.java
+++ b/wire/src/main/java/org/mustardlatch/wire/PeerTransport.java
@@ -263,6 +263,18 @@
     }
   }
 
+  void heard(PeerChannel channel) {
+    Link link = linkOf(channel);
+    if (link != null) {
+      link.heard();
+    }
+  }
+
+  long silentAfterNanos(PeerChannel channel) {
+    Link link = linkOf(channel);
+    return link == null ? TransportLimits.SILENT_AFTER_NANOS : link.silentAfterNanos();
+  }
+
   void writable(PeerChannel channel) {
     Link link = linkOf(channel);
     if (link != null) {
--- a/wire/src/main/java/org/mustardlatch/wire/TransportLimits.java
+++ b/wire/src/main/java/org/mustardlatch/wire/TransportLimits.java
@@ -39,6 +39,9 @@
    */
   static final long SILENT_AFTER_NANOS = Duration.ofMillis(2_200).toNanos();
 
+  /** Bounds the time after which a connection of a silent peer is replaced again, to 18 s. */
+  static final int MAX_DOUBLINGS = 3;
+
   /** A connection without traffic gets a ping this often. */
   static final long IDLE_PING_NANOS = Duration.ofSeconds(15).toNanos();
 
--- a/wire/src/test/java/org/mustardlatch/wire/bench/BenchResult.java
+++ b/wire/src/test/java/org/mustardlatch/wire/bench/BenchResult.java
@@ -79,8 +79,8 @@
         + changing.row(nodes, "changes")
         + String.format(
             Locale.ROOT,
-            "%n      join %.1f s, in force p50 %d p99 %d max %d ms, detection p50 %d p99 %d max %d ms,"
-                + " suspicions %d, errors %d, refused %s",
+            "%n      join %.1f s, in force p50 %d p99 %d max %d ms,"
+                + " detection p50 %d p99 %d max %d ms, suspicions %d, errors %d, refused %s",
             joinSeconds,
             spread.getValueAtPercentile(50),
             spread.getValueAtPercentile(99),
