Add tests with real processes and signals, and golden sessions

Cause: kill -9, SIGSTOP with SIGCONT and SIGTERM can't be shown inside one process, and the wire behaviour of whole sessions had no record.

--- /dev/null
+++ b/daemon/src/test/java/org/mustardlatch/daemon/DaemonProcess.java
@@ -0,0 +1,137 @@
+package org.mustardlatch.daemon;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** A daemon as a process of its own, so that signals can be sent to it. */
+final class DaemonProcess implements AutoCloseable {
+  private static final Duration START_BOUND = Duration.ofSeconds(60);
+
+  private final String host;
+  private final int callerPort = freePort();
+  private final int operatorPort = freePort();
+  private final Process process;
+
+  /**
+   * Starts a daemon.
+   *
+   * @param directory where settings and log go
+   * @param peerPort where it listens for the other daemons
+   * @param seedPort peer port of another daemon
+   */
+  DaemonProcess(Path directory, String host, String store, int peerPort, int seedPort) {
+    this.host = host;
+    Path settings = directory.resolve(host + ".toml");
+    String text =
+        """
+        [node]
+        host = "%s"
+        region = "valle-central"
+        zone = "heredia"
+        caller_address = "127.0.0.1:%d"
+        operator_address = "127.0.0.1:%d"
+        peer_address = "127.0.0.1:%d"
+        drain_delay_ms = 100
+        [peers]
+        seeds = ["127.0.0.1:%d"]
+        [object_service]
+        url = "%s"
+        [tls]
+        mode = "plain"
+        """
+            .formatted(host, callerPort, operatorPort, peerPort, seedPort, store);
+    Path java = Path.of(System.getProperty("java.home"), "bin", "java");
+    List<String> command =
+        List.of(
+            java.toString(),
+            "-Xmx256m",
+            "-XX:+UseSerialGC",
+            "-cp",
+            System.getProperty("java.class.path"),
+            Main.class.getName(),
+            "--config",
+            settings.toString());
+    try {
+      Files.writeString(settings, text);
+      process =
+          new ProcessBuilder(command)
+              .redirectErrorStream(true)
+              .redirectOutput(directory.resolve(host + ".log").toFile())
+              .start();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  /** Returns a port that was free a moment ago. */
+  static int freePort() {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return socket.getLocalPort();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  int callerPort() {
+    return callerPort;
+  }
+
+  URI operatorUrl(String path) {
+    return Fleet.url(operatorPort, path);
+  }
+
+  void awaitListening() {
+    Await.until(host + " listens", START_BOUND, () -> answers("/healthz"));
+  }
+
+  void awaitReady() {
+    Await.until(host + " is ready", START_BOUND, () -> answers("/readyz"));
+  }
+
+  private boolean answers(String path) {
+    try {
+      return HttpCalls.get(operatorUrl(path)).status() == 200;
+    } catch (UncheckedIOException e) {
+      return false;
+    }
+  }
+
+  /** Sends a signal, for example {@code STOP}. */
+  void signal(String name) {
+    try {
+      Process kill = new ProcessBuilder("kill", "-" + name, "" + process.pid()).start();
+      if (kill.waitFor() != 0) {
+        throw new AssertionError("kill -" + name + " failed with " + kill.exitValue());
+      }
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    } catch (InterruptedException e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  /** Waits for the process to end and returns its exit code. */
+  int awaitExit(Duration bound) {
+    try {
+      if (!process.waitFor(bound.toMillis(), TimeUnit.MILLISECONDS)) {
+        throw new AssertionError(host + " did not exit within " + bound);
+      }
+      return process.exitValue();
+    } catch (InterruptedException e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  @Override
+  public void close() {
+    process.destroyForcibly();
+  }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/mustardlatch/daemon/GoldenSessionTest.java
@@ -0,0 +1,154 @@
+package org.mustardlatch.daemon;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.mustardlatch.standin.ApplicationStandin;
+import org.mustardlatch.standin.EngineOptions;
+import org.mustardlatch.standin.ObjectServiceFaults;
+
+/**
+ * Guards against changes of what callers and operators see: whole sessions are compared with golden
+ * files.
+ */
+class GoldenSessionTest {
+  private static final String JSON = "application/json";
+
+  private final ApplicationStandin orders = new ApplicationStandin(0);
+  private final Fleet fleet =
+      new Fleet(
+          EngineOptions.fast("prefill-1", "prefill"),
+          EngineOptions.fast("decode-1", "decode"),
+          EngineOptions.fast("decode-2", "decode"));
+
+  GoldenSessionTest() {
+    orders.start();
+    fleet.publish(
+        """
+        [[upstream]]
+        name = "orders-1"
+        kind = "application"
+        zone = "heredia"
+        url = "%s"
+        [[route]]
+        path = "/orders/confirm"
+        methods = ["POST"]
+        upstreams = ["orders-1"]
+        [[route]]
+        path = "/orders/status"
+        methods = ["GET"]
+        upstreams = ["orders-1"]
+        idempotent = true
+        """
+            .formatted(orders.url()));
+  }
+
+  @AfterEach
+  void close() {
+    fleet.close();
+    orders.stop();
+  }
+
+  private int port() {
+    return fleet.daemon().callerPort();
+  }
+
+  @Test
+  void callerSession() {
+    SessionRecorder session = new SessionRecorder("caller");
+    session.call(port(), "GET", "/v1/models", "");
+    generate(session, Fleet.body("Anna and Juan", 4, true));
+    generate(session, Fleet.body("Anna and Juan", 4, false));
+    session.step("mistakes of callers; each gets an error with a code and the next call works");
+    generate(session, "{\"model\": \"wording\", \"prompt\": ");
+    generate(session, "{\"model\": \"unknown\", \"prompt\": \"x\"}");
+    generate(session, "{\"prompt\": \"x\"}");
+    generate(session, "{\"model\": \"wording\", \"prompt\": \"x\", \"max_tokens\": -1}");
+    session.call(
+        port(),
+        "POST",
+        "/v1/completions",
+        Fleet.body("x", 1, false),
+        "Content-Type",
+        JSON,
+        "Authorization",
+        "Bearer wrong");
+    session.call(port(), "GET", "/nowhere", "");
+    generate(session, Fleet.body("x", 2, false));
+    session.check();
+  }
+
+  @Test
+  void confirmationSession() {
+    SessionRecorder session = new SessionRecorder("confirmation");
+    Daemon other = fleet.startAnother("entry-2", 0);
+    confirm(session, port(), "order-1", "{\"order\": 1}");
+    session.step("the repeat at another node gets the recorded answer");
+    confirm(session, other.callerPort(), "order-1", "{\"order\": 1}");
+    session.step("the key is used for another body");
+    confirm(session, port(), "order-1", "{\"order\": 2}");
+    session.step("the service runs the order and loses the answer");
+    orders.faults().loseAnswers(true);
+    confirm(session, port(), "order-2", "{\"order\": 2}");
+    orders.faults().loseAnswers(false);
+    confirm(session, other.callerPort(), "order-2", "{\"order\": 2}");
+    session.step("the object service is down");
+    fleet.store().setFaults(ObjectServiceFaults.DOWN);
+    confirm(session, port(), "order-3", "{\"order\": 3}");
+    session.call(port(), "GET", "/orders/status", "");
+    generate(session, Fleet.body("goes on", 2, false));
+    session.step("the object service is back; the caller repeats until it is accepted");
+    fleet.store().setFaults(ObjectServiceFaults.NONE);
+    Await.until("order-3 is accepted", Duration.ofSeconds(30), () -> confirmed("order-3"));
+    session.step("one more repeat gets the recorded answer");
+    confirm(session, port(), "order-3", "{\"order\": 3}");
+    session.check();
+    assertThat(orders.runs("order-1")).isEqualTo(1);
+    assertThat(orders.runs("order-2")).isEqualTo(1);
+    assertThat(orders.runs("order-3")).isEqualTo(1);
+    other.stop();
+  }
+
+  @Test
+  void quarantineSession() {
+    SessionRecorder session = new SessionRecorder("quarantine");
+    session.step("a prompt crashes every engine that decodes it");
+    fleet.engine(1).faults().crashOnPrompt("poison");
+    fleet.engine(2).faults().crashOnPrompt("poison");
+    generate(session, Fleet.body("poison", 8, false));
+    session.step("the caller sends it again");
+    generate(session, Fleet.body("poison", 8, false));
+    session.step("the engines are back; another prompt is answered");
+    fleet.engine(1).start();
+    fleet.engine(2).start();
+    Await.until("engines are used again", Duration.ofSeconds(30), () -> answers("harmless"));
+    generate(session, Fleet.body("harmless", 3, false));
+    session.check();
+  }
+
+  private void generate(SessionRecorder session, String body) {
+    session.call(port(), "POST", "/v1/completions", body, "Content-Type", JSON);
+  }
+
+  private boolean answers(String prompt) {
+    return Fleet.complete(port(), prompt, 1, false).status() == 200;
+  }
+
+  private boolean confirmed(String key) {
+    return HttpCalls.post(
+                Fleet.url(port(), "/orders/confirm"),
+                "{\"order\": 3}",
+                JSON,
+                "Idempotency-Key",
+                key)
+            .status()
+        == 201;
+  }
+
+  private static void confirm(SessionRecorder session, int port, String key, String body) {
+    session.call(
+        port, "POST", "/orders/confirm", body, "Content-Type", JSON, "Idempotency-Key", key);
+  }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/mustardlatch/daemon/ProcessFaultTest.java
@@ -0,0 +1,212 @@
+package org.mustardlatch.daemon;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+import static java.util.concurrent.Future.State.RUNNING;
+
+import com.google.common.hash.Hashing;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.mustardlatch.standin.ApplicationStandin;
+import org.mustardlatch.standin.EngineOptions;
+import org.mustardlatch.standin.EngineStandin;
+import org.mustardlatch.standin.ObjectServiceStandin;
+import org.mustardlatch.standin.TokenText;
+
+/** Guards against faults that only signals to real processes bring about. */
+class ProcessFaultTest {
+  /** Design 4.6: detection, suspicion, refutation time and sweep. */
+  private static final Duration NODE_GONE_BOUND = Duration.ofSeconds(20);
+
+  private static final Duration STEP_BOUND = Duration.ofSeconds(30);
+  private static final int ENDLESS = 10_000;
+  private static final String KEY_SHA256 =
+      Hashing.sha256().hashString(Fleet.KEY, StandardCharsets.UTF_8).toString();
+
+  @TempDir Path directory;
+
+  private final ObjectServiceStandin store = new ObjectServiceStandin();
+  private final ApplicationStandin orders = new ApplicationStandin(0);
+  private final List<EngineStandin> engines =
+      List.of(
+          new EngineStandin(EngineOptions.fast("prefill-1", "prefill")),
+          new EngineStandin(slow("decode-1")),
+          new EngineStandin(slow("decode-2")));
+  private final ExecutorService callers = Executors.newVirtualThreadPerTaskExecutor();
+  private DaemonProcess first;
+  private DaemonProcess second;
+
+  private static EngineOptions slow(String name) {
+    return EngineOptions.fast(name, "decode").withTokenGap(Duration.ofMillis(20));
+  }
+
+  @BeforeEach
+  void start() {
+    store.start(0);
+    orders.start();
+    engines.forEach(EngineStandin::start);
+    int firstPeer = DaemonProcess.freePort();
+    int secondPeer = DaemonProcess.freePort();
+    first = new DaemonProcess(directory, "entry-1", store.url(), firstPeer, secondPeer);
+    second = new DaemonProcess(directory, "entry-2", store.url(), secondPeer, firstPeer);
+    first.awaitListening();
+    HttpCalls.Answer published =
+        HttpCalls.post(first.operatorUrl("/manifest?base=0"), manifest(), "application/toml");
+    assertThat(published.toString()).startsWith("200 ");
+    first.awaitReady();
+    second.awaitReady();
+    awaitMembers(first, 2);
+    awaitMembers(second, 2);
+  }
+
+  @AfterEach
+  void stop() {
+    first.close();
+    second.close();
+    engines.forEach(EngineStandin::stop);
+    orders.stop();
+    store.close();
+    callers.shutdownNow();
+  }
+
+  @Test
+  void aKilledNodeLeavesNoEngineMemoryBehind() {
+    Future<HttpCalls.Answer> lost = callers.submit(() -> complete(first, "killed", ENDLESS));
+    awaitDecoding(lost);
+    first.signal("KILL");
+    awaitNothingAllocated(NODE_GONE_BOUND);
+    assertThat(complete(second, "after", 10).text()).isEqualTo(TokenText.answer("after", 10));
+    lost.cancel(true);
+  }
+
+  @Test
+  void aFrozenNodeLosesItsEngineMemoryAndServesAgainWhenItThaws() {
+    Future<HttpCalls.Answer> frozen = callers.submit(() -> complete(first, "frozen", ENDLESS));
+    awaitDecoding(frozen);
+    first.signal("STOP");
+    awaitNothingAllocated(NODE_GONE_BOUND);
+    first.signal("CONT");
+    Await.until("thawed node serves", STEP_BOUND, () -> serves(first, "thawed"));
+    frozen.cancel(true);
+    awaitNothingAllocated(NODE_GONE_BOUND);
+  }
+
+  @Test
+  void aPlannedStopFinishesTheStreamAndExitsWithZero() throws Exception {
+    Future<HttpCalls.Answer> stream = callers.submit(() -> complete(first, "last", 150));
+    awaitDecoding(stream);
+    first.signal("TERM");
+    assertThat(stream.get().text()).isEqualTo(TokenText.answer("last", 150));
+    assertThat(first.awaitExit(STEP_BOUND)).isEqualTo(0);
+  }
+
+  @Test
+  void aConfirmationOfAKilledNodeIsNeverRunAgain() {
+    orders.faults().stall(true);
+    Future<?> lost = callers.submit(() -> confirm(first, "order-1"));
+    Await.until("dispatched", STEP_BOUND, () -> orders.faults().waiting() > 0);
+    first.signal("KILL");
+    assertThat(confirm(second, "order-1").code()).isAnyOf("in_progress", "outcome_unknown");
+    orders.faults().stall(false);
+    Await.until("the first run ends", STEP_BOUND, () -> orders.runs("order-1") > 0);
+    assertThat(confirm(second, "order-1").status()).isNotEqualTo(503);
+    assertThat(orders.runs("order-1")).isEqualTo(1);
+    lost.cancel(true);
+  }
+
+  private static void awaitMembers(DaemonProcess node, int count) {
+    Await.until(
+        count + " members",
+        STEP_BOUND,
+        () -> HttpCalls.get(node.operatorUrl("/status")).json().path("members").size() == count);
+  }
+
+  private void awaitDecoding(Future<HttpCalls.Answer> answer) {
+    Await.until(
+        "decode runs",
+        STEP_BOUND,
+        () -> {
+          assertWithMessage("answer before decode").that(answer.state()).isEqualTo(RUNNING);
+          return engines.get(1).allocations().size() + engines.get(2).allocations().size() > 0;
+        });
+  }
+
+  private void awaitNothingAllocated(Duration bound) {
+    Await.until(
+        "engines hold nothing",
+        bound,
+        () -> engines.stream().allMatch(e -> e.allocations().isEmpty()));
+  }
+
+  private static boolean serves(DaemonProcess node, String prompt) {
+    try {
+      return complete(node, prompt, 5).text().equals(TokenText.answer(prompt, 5));
+    } catch (UncheckedIOException e) {
+      return false;
+    }
+  }
+
+  private static HttpCalls.Answer complete(DaemonProcess node, String prompt, int tokens) {
+    return Fleet.complete(node.callerPort(), prompt, tokens, true);
+  }
+
+  private static HttpCalls.Answer confirm(DaemonProcess node, String key) {
+    return HttpCalls.post(
+        Fleet.url(node.callerPort(), "/orders/confirm"),
+        "{\"order\": 1}",
+        "application/json",
+        "Idempotency-Key",
+        key);
+  }
+
+  private String manifest() {
+    StringBuilder text =
+        new StringBuilder(
+            """
+            [manifest]
+            name = "test"
+            [[region]]
+            name = "valle-central"
+            zones = ["heredia"]
+            [[workspace]]
+            name = "tinta"
+            api_keys_sha256 = ["%s"]
+            [[model]]
+            name = "wording"
+            first_token_target_ms = 60_000
+            [[upstream]]
+            name = "orders-1"
+            kind = "application"
+            zone = "heredia"
+            url = "%s"
+            [[route]]
+            path = "/orders/confirm"
+            methods = ["POST"]
+            upstreams = ["orders-1"]
+            """
+                .formatted(KEY_SHA256, orders.url()));
+    addEngine(text, "prefill-1", "prefill", 0);
+    addEngine(text, "decode-1", "decode", 1);
+    addEngine(text, "decode-2", "decode", 2);
+    return text.toString();
+  }
+
+  private void addEngine(StringBuilder text, String name, String role, int index) {
+    text.append("[[upstream]]\nkind = \"engine\"\nmodel = \"wording\"\nzone = \"heredia\"\n");
+    text.append("name = \"%s\"\nrole = \"%s\"\n".formatted(name, role));
+    text.append("url = \"%s\"\nmemory_pieces = 1000\n".formatted(engines.get(index).url()));
+    if (role.equals("prefill")) {
+      text.append("prefill_tokens_per_second = 100_000\n");
+    }
+  }
+}
