--- a/daemon/src/main/java/org/mustardlatch/daemon/node/ManifestService.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/node/ManifestService.java
@@ -86,8 +86,7 @@
 
   @Override
   public long publish(String text, long base) {
-    Manifest offered =
-        ManifestParser.parse("manifest", text).orThrow(ErrorCode.MANIFEST_INVALID);
+    Manifest offered = ManifestParser.parse("manifest", text).orThrow(ErrorCode.MANIFEST_INVALID);
     PublishResult result = await(store.publish(base, text, SETTLE_TIME), base);
     return switch (result) {
       case PublishResult.Published p -> spread(p.revision(), text);
--- a/daemon/src/main/java/org/mustardlatch/daemon/upstream/EngineCall.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/upstream/EngineCall.java
@@ -54,6 +54,9 @@
     } catch (ConnectException e) {
       fail(Failure.REFUSED);
     } catch (IOException e) {
+      if (cancelled) {
+        return;
+      }
       fail(context.probe().classify(host, attempt, watch.expired()));
     } finally {
       watch.close();
