--- a/replay/src/test/java/org/mustardlatch/replay/BoundsTest.java
+++ b/replay/src/test/java/org/mustardlatch/replay/BoundsTest.java
@@ -43,6 +43,7 @@
     assertThat(own.missing()).isEqualTo(0);
   }
 
+  /** Tinta misses this bound, see {@code docs/MEASUREMENTS.md}. */
   @Test
   void stragglersStretchTheFirstTokenLittle() {
     ReplayReport with = run(User.VEVSTUA, "mustardlatch", TraceKind.STRAGGLERS);
