Let slow prefill engines of small pools recover, allow for noise of single prefills

Cause: (1) while the only prefill engine of a cell was late, its rate counted as zero, so the predicted wait was endless and requests with a target of 60 s were refused as overloaded; (2) an engine that had been slow once was taken for slow until a prefill was observed again, and requests that were refused for it never brought one; (3) one short prompt on a cold engine made it look 20 times too slow. Ruled out: counting stragglers always, which would predict waits from engines that get probes only. Before: both new tests fail (r2 refused; r3 refused 30 s later). Conclusion: a small pool is slow, not gone, and its belief fades with a half-life of 3.5 s while it is idle.

--- a/core/src/main/java/org/mustardlatch/core/routing/CellAdmission.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/CellAdmission.java
@@ -284,6 +284,7 @@
   /** Drops reservations that were not renewed and serves the queue. */
   void tick() {
     long now = fx.now();
+    placer.relaxIdle(now);
     for (Reservation r : new ArrayList<>(reservations.values())) {
       if (now >= r.expiresNanos) {
         reservations.remove(r.attempt);
--- a/core/src/main/java/org/mustardlatch/core/routing/EngineState.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/EngineState.java
@@ -9,6 +9,10 @@
   // Covers the way of the grant to the engine and of the news of its end back; without it short
   // prefills would look like stragglers.
   private static final long PREFILL_OVERHEAD_NANOS = 4_000_000;
+
+  // Start of a process, connection set-up and scheduling make single prefills late by tens of
+  // milliseconds. Without the allowance one short prompt made its engine look 20 times too slow.
+  private static final long PREFILL_NOISE_NANOS = 50_000_000;
   // A prefill past its predicted end is expected to take this share of its age on top.
   private static final double OVERDUE_SHARE = 0.3;
   private static final long SOON_NANOS = 300_000_000;
@@ -108,7 +112,7 @@
     if (prefilling.remove(r) && first) {
       long age = now - prefillServingSinceNanos;
       if (finished || age > r.nominalNanos * prefillPace.ratio()) {
-        prefillPace.observe(age, r.nominalNanos);
+        prefillPace.observe(withoutNoise(age, r.nominalNanos), r.nominalNanos);
       }
     }
     if (first) {
@@ -122,8 +126,14 @@
     if (first == null) {
       return prefillPace.ratio();
     }
-    double age = (double) (now - prefillServingSinceNanos) / first.nominalNanos;
-    return Math.max(prefillPace.ratio(), age);
+    long age = withoutNoise(now - prefillServingSinceNanos, first.nominalNanos);
+    return Math.max(prefillPace.ratio(), (double) age / first.nominalNanos);
+  }
+
+  /** Takes up to the usual noise off the part of a duration that exceeds the nominal one. */
+  private static long withoutNoise(long durationNanos, long nominalNanos) {
+    long excess = durationNanos - nominalNanos;
+    return excess <= 0 ? durationNanos : nominalNanos + Math.max(0, excess - PREFILL_NOISE_NANOS);
   }
 
   /** Returns the predicted time until the prefills granted so far have ended, nanoseconds. */
--- a/core/src/main/java/org/mustardlatch/core/routing/Pace.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/Pace.java
@@ -10,6 +10,7 @@
   private static final double NEWEST_WEIGHT = 0.5;
   private static final double MIN_RATIO = 0.1;
   private static final double MAX_RATIO = 20;
+  private static final double RELAXATION = 0.02;
 
   private double ratio = 1;
   private boolean observed;
@@ -28,4 +29,9 @@
     ratio = observed ? ratio + NEWEST_WEIGHT * (r - ratio) : r;
     observed = true;
   }
+
+  /** Moves the ratio a small step towards 1; called while nothing is observed. */
+  void relax() {
+    ratio += RELAXATION * (1 - ratio);
+  }
 }
--- a/core/src/main/java/org/mustardlatch/core/routing/Placer.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/Placer.java
@@ -258,13 +258,33 @@
   /** Returns the prompt tokens per nanosecond that the usable prefill engines do together. */
   double prefillTokensPerNano(long now) {
     double sum = 0;
+    double stragglers = 0;
     for (EngineState e : prefills) {
-      double ratio = e.prefillRatio(now);
-      if (e.usableSoon(leaving, now) && !isStraggler(ratio, medianPrefill)) {
-        sum += e.upstream.prefillTokensPerSecond() / 1e9 / ratio;
+      if (e.usableSoon(leaving, now)) {
+        double ratio = e.prefillRatio(now);
+        double rate = e.upstream.prefillTokensPerSecond() / 1e9 / ratio;
+        if (isStraggler(ratio, medianPrefill)) {
+          stragglers += rate;
+        } else {
+          sum += rate;
+        }
+      }
+    }
+    // A pool of one engine is as slow as its engine; it is not a pool without engines.
+    return sum > 0 ? sum : stragglers;
+  }
+
+  /**
+   * Lets the belief fade that engines without work are slow. Requests that were refused for it
+   * could never correct it. Stragglers of a pool are left out: probes tell when they recover.
+   */
+  void relaxIdle(long now) {
+    refreshMedians(now);
+    for (EngineState e : prefills) {
+      if (e.prefilling.isEmpty() && e.prefillPace.ratio() <= SLOW_RATIO * medianPrefill) {
+        e.prefillPace.relax();
       }
     }
-    return sum;
   }
 
   /** Returns the time until some prefill engine takes another prefill, nanoseconds. */
--- a/core/src/test/java/org/mustardlatch/core/routing/NodeRouterTest.java
+++ b/core/src/test/java/org/mustardlatch/core/routing/NodeRouterTest.java
@@ -151,6 +151,44 @@
     assertThat(last(RoutingCommand.StartPrefill.class).upstream()).isNotEqualTo(p.upstream());
   }
 
+  @Test
+  void requestsBehindASlowPrefillOfTheOnlyEngineWaitInsteadOfBeingRefused() {
+    wasteAverse(1);
+    arrive("r1");
+    now += 600 * MILLI;
+    handle(new RoutingEvent.RequestArrived(Fixtures.request("r2", 100, now)));
+
+    assertThat(all(RoutingCommand.Refuse.class)).isEmpty();
+  }
+
+  @Test
+  void aPoolThatWasSlowOnceServesLongPromptsAgain() {
+    wasteAverse(1);
+    RoutingCommand.StartPrefill slow = arrive("r1");
+    now += 3000 * MILLI;
+    handle(new RoutingEvent.PrefillFinished(slow.attempt(), kv(slow.upstream())));
+    handle(new RoutingEvent.RequestArrived(Fixtures.request("r2", 2000, now)));
+    assertThat(all(RoutingCommand.Refuse.class)).isNotEmpty();
+
+    for (int i = 0; i < 300; i++) {
+      now += 100 * MILLI;
+      tick();
+    }
+    int refused = all(RoutingCommand.Refuse.class).size();
+    RoutingCommand.StartPrefill next = arrive("r3");
+    assertThat(next.attempt().request()).isEqualTo(new RequestId("r3"));
+    assertThat(all(RoutingCommand.Refuse.class)).hasSize(refused);
+  }
+
+  private void tick() {
+    RoutingCommand.SetTimer timer =
+        all(RoutingCommand.SetTimer.class).stream()
+            .filter(t -> t.key().kind().equals("tick"))
+            .reduce((a, b) -> b)
+            .orElseThrow();
+    handle(new RoutingEvent.TimerFired(timer.key()));
+  }
+
   private void wasteAverse(int prefillEngines) {
     handle(
         new RoutingEvent.ManifestApplied(
