Enforce the rate of a workspace over the fleet by leases of its budget

Cause: requests_per_second of the manifest was checked nowhere; the shared budgets existed but no request spent them. Ruled out: dividing the rate by the number of nodes, which strands it when demand sits at one node. Before: 40 of 40 requests answered at a rate of 4/s.

--- a/daemon/src/main/java/org/mustardlatch/daemon/Daemon.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/Daemon.java
@@ -14,6 +14,7 @@
 import org.mustardlatch.core.ledger.KeyedPolicy;
 import org.mustardlatch.core.ledger.LedgerLimits;
 import org.mustardlatch.core.manifest.LedgerPolicy;
+import org.mustardlatch.core.membership.MemberList;
 import org.mustardlatch.core.model.HostId;
 import org.mustardlatch.core.peer.LedgerMessage;
 import org.mustardlatch.core.peer.PeerMessage;
@@ -62,6 +63,7 @@
   private final LedgerService ledger;
   private final RoutingService routing;
   private final UpstreamPoller poller;
+  private final WorkspaceRates rates;
   private final CallerApi callers;
   private final OperatorApi operators;
   private final CountDownLatch drained = new CountDownLatch(1);
@@ -93,6 +95,7 @@
     EngineCalls engines = new EngineCalls(hosts, manifest, loop, calls, owner, this::post);
     routing = new RoutingService(loop, router, engines, peers.service()::send);
     poller = new UpstreamPoller(hosts, router::admittedEngines, loop, calls, this::post);
+    rates = new WorkspaceRates(peers.service(), peers, manifest, settings.region());
     PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     callers =
         new CallerApi(
@@ -102,6 +105,7 @@
             routing,
             ledger,
             new ApplicationCalls(hosts),
+            rates,
             new RequestMetrics(registry));
     operators =
         new OperatorApi(
@@ -120,6 +124,7 @@
     var unused = manifest.changes().subscribe(this::apply);
     peers.service().addListener(new ReadyListener());
     peers.service().addListener(new LedgerListener());
+    peers.service().addListener(new RateListener());
     var unusedAddress = peers.service().start();
     manifests.start();
     ledger.start();
@@ -183,6 +188,7 @@
   }
 
   private void apply(AppliedManifest applied) {
+    rates.refresh();
     hosts.apply(applied.manifest());
     post(new RoutingEvent.ManifestApplied(applied.revision(), applied.manifest()));
   }
@@ -201,6 +207,14 @@
     routing.post(event);
   }
 
+  /** Shares the rates of workspaces anew when the live nodes change. */
+  private final class RateListener implements PeerServiceListener {
+    @Override
+    public void membersChanged(MemberList list) {
+      rates.refresh();
+    }
+  }
+
   /** Passes messages about records to the ledger. */
   private final class LedgerListener implements PeerServiceListener {
     @Override
--- a/daemon/src/main/java/org/mustardlatch/daemon/caller/CallerApi.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/caller/CallerApi.java
@@ -52,11 +52,12 @@
       RoutingService routing,
       LedgerService ledger,
       ApplicationCalls applications,
+      RequestRates rates,
       RequestMetrics metrics) {
     this.manifest = manifest;
     this.metrics = metrics;
     Gate gate = new Gate(state);
-    WorkspaceLimits limits = new WorkspaceLimits();
+    WorkspaceLimits limits = new WorkspaceLimits(rates);
     this.generation = new GenerationHandler(gate, manifest, limits, routing, metrics);
     this.passThrough =
         new PassThroughHandler(
--- a/daemon/src/main/java/org/mustardlatch/daemon/caller/WorkspaceLimits.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/caller/WorkspaceLimits.java
@@ -8,18 +8,40 @@
 import org.mustardlatch.core.manifest.Workspace;
 import org.mustardlatch.core.model.WorkspaceId;
 
-/** Limits the requests that a workspace has in progress on this node. */
+/**
+ * Limits what a workspace sends: its rate over the whole fleet, and the requests in progress on
+ * this node.
+ */
 final class WorkspaceLimits {
   private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
 
   private final ConcurrentMap<WorkspaceId, AtomicInteger> inProgress = new ConcurrentHashMap<>();
+  private final RequestRates rates;
+
+  WorkspaceLimits(RequestRates rates) {
+    this.rates = rates;
+  }
 
   /**
    * Takes a place; it must be given back by closing it.
    *
-   * @throws RefusedException with {@link ErrorCode#RATE_LIMITED} when none is free
+   * @throws RefusedException with {@link ErrorCode#RATE_LIMITED} when none is free or the rate is
+   *     used up
    */
   Place enter(Workspace workspace) {
+    Place place = takePlace(workspace);
+    if (!rates.take(workspace.id())) {
+      place.close();
+      throw new RefusedException(
+          ErrorCode.RATE_LIMITED,
+          "not run: workspace \"%s\" is limited to %s requests per second"
+              .formatted(workspace.id(), workspace.requestsPerSecond()),
+          RETRY_AFTER);
+    }
+    return place;
+  }
+
+  private Place takePlace(Workspace workspace) {
     AtomicInteger count = inProgress.computeIfAbsent(workspace.id(), id -> new AtomicInteger());
     if (count.incrementAndGet() > workspace.maxConcurrent()) {
       count.decrementAndGet();
--- a/daemon/src/test/java/org/mustardlatch/daemon/Fleet.java
+++ b/daemon/src/test/java/org/mustardlatch/daemon/Fleet.java
@@ -73,7 +73,15 @@
 
   /** Publishes the engines together with more manifest text. */
   void publish(String more) {
-    String text = manifest() + more;
+    publishText(manifest() + more);
+  }
+
+  /** Publishes the engines with a rate for the workspace, requests per second. */
+  void publishLimited(double rate) {
+    publishText(manifest().replace("[[model]]", "requests_per_second = " + rate + "\n[[model]]"));
+  }
+
+  private void publishText(String text) {
     String base = HttpCalls.get(operatorUrl("/status")).json().path("revision").asText();
     HttpCalls.Answer answer =
         HttpCalls.post(operatorUrl("/manifest?base=" + base), text, "application/toml");
