--- a/core/src/test/java/org/mustardlatch/core/fleet/BudgetFleetTest.java
+++ b/core/src/test/java/org/mustardlatch/core/fleet/BudgetFleetTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
+import org.mustardlatch.core.Seeds;
 import org.mustardlatch.core.budget.BudgetTerms;
 import org.mustardlatch.core.membership.Rendezvous;
 import org.mustardlatch.core.model.HostId;
@@ -65,7 +66,7 @@
   /** Guards the bound R(T + 2L) and against units that get lost when demand moves. */
   @Test
   void movingDemandSpendsNeitherMoreThanTheBoundNorMuchLessThanTheRate() {
-    for (int seed = 1; seed <= SEEDS; seed++) {
+    for (int seed : Seeds.of("fleet", SEEDS)) {
       Fleet fleet = fleet(seed);
       int seconds = 30;
       int granted = 0;
@@ -80,7 +81,7 @@
   /** Guards against a budget that a demand within its rate can't use. */
   @Test
   void demandOfHalfTheRateIsGrantedAlmostAlways() {
-    for (int seed = 1; seed <= SEEDS; seed++) {
+    for (int seed : Seeds.of("fleet", SEEDS)) {
       Fleet fleet = fleet(seed);
       List<FleetNode> all = new ArrayList<>(fleet.live());
       second(fleet, all, 0.5);
@@ -96,7 +97,7 @@
   /** Guards the bound of a change of owner, RL, and against a budget without owner. */
   @Test
   void aVanishedOwnerCostsAtMostOneLeaseTimeOfUnitsAndNoStandstill() {
-    for (int seed = 1; seed <= SEEDS; seed++) {
+    for (int seed : Seeds.of("fleet", SEEDS)) {
       Fleet fleet = fleet(seed);
       int seconds = 40;
       int changes = 0;
--- a/core/src/test/java/org/mustardlatch/core/fleet/MembershipFleetTest.java
+++ b/core/src/test/java/org/mustardlatch/core/fleet/MembershipFleetTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
+import org.mustardlatch.core.Seeds;
 
 /** Membership of a small fleet under seeded faults, in virtual time. */
 class MembershipFleetTest {
@@ -17,7 +18,7 @@
 
   /** Runs a schedule for every seed, on a fleet that has joined. */
   private static void forSeeds(int seeds, int size, Consumer<Fleet> schedule) {
-    for (int seed = 1; seed <= seeds; seed++) {
+    for (int seed : Seeds.of("fleet", seeds)) {
       Fleet fleet = new Fleet(seed);
       fleet.startAll(0, size);
       try {
--- a/core/src/test/java/org/mustardlatch/core/fleet/RolloutFleetTest.java
+++ b/core/src/test/java/org/mustardlatch/core/fleet/RolloutFleetTest.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.mustardlatch.core.Seeds;
 import org.mustardlatch.core.rollout.RolloutEvent;
 
 /** Invariant I8: an accepted configuration is in force everywhere within 4 s and never reverts. */
@@ -47,7 +48,7 @@
    */
   @Test
   void anAcceptedRevisionIsInForceEverywhereWithinFourSecondsWhateverFailsNext() {
-    for (int seed = 1; seed <= SEEDS; seed++) {
+    for (int seed : Seeds.of("fleet", SEEDS)) {
       Fleet fleet = fleet(seed);
       fleet.loss = 0.1;
       for (long revision = 2; revision <= 3; revision++) {
@@ -78,7 +79,7 @@
   /** Guards against a fresh node that serves with what a node that lags behind told it. */
   @Test
   void aFreshNodeIsNotReadyBeforeItHasTheAcceptedRevision() {
-    for (int seed = 1; seed <= SEEDS; seed++) {
+    for (int seed : Seeds.of("fleet", SEEDS)) {
       Fleet fleet = fleet(seed);
       fleet.storeDown = true;
       FleetNode fresh = fleet.start("fresh", "r1", fleet.seeds());
@@ -97,7 +98,7 @@
   /** A side without the object service keeps its revision and moves on when it is joined again. */
   @Test
   void theCutOffRegionCatchesUpWithinFourSecondsAfterThePartitionHeals() {
-    for (int seed = 1; seed <= SEEDS / 2; seed++) {
+    for (int seed : Seeds.of("fleet", SEEDS / 2)) {
       Fleet fleet = fleet(seed);
       fleet.cut = (a, b) -> !a.region().equals(b.region());
       fleet.run(Duration.ofSeconds(10 + fleet.random.nextInt(80)));
--- a/core/src/test/java/org/mustardlatch/core/routing/ScheduleTest.java
+++ b/core/src/test/java/org/mustardlatch/core/routing/ScheduleTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
+import org.mustardlatch.core.Seeds;
 import org.mustardlatch.core.error.ErrorCode;
 import org.mustardlatch.core.manifest.Objective;
 import org.mustardlatch.core.manifest.Upstream;
@@ -103,7 +104,7 @@
 
   @Test
   void everyRequestEndsOnceAndNothingIsLeftBehindUnderFaults() {
-    for (long seed = 1; seed <= SEEDS; seed++) {
+    for (int seed : Seeds.of("routing", SEEDS)) {
       FakeFleet f = fleet(seed);
       SplittableRandom r = new SplittableRandom(seed);
       f.runUntil(f.now + 3 * SECOND);
@@ -116,7 +117,7 @@
 
   @Test
   void aRequestThatCrashesEnginesIsQuarantinedAfterTwoCrashes() {
-    for (long seed = 1; seed <= 100; seed++) {
+    for (int seed : Seeds.of("routing", 100)) {
       FakeFleet f = fleet(seed);
       SplittableRandom r = new SplittableRandom(seed);
       f.runUntil(f.now + 3 * SECOND);
--- a/daemon/src/main/java/org/mustardlatch/daemon/Daemon.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/Daemon.java
@@ -28,8 +28,10 @@
 import org.mustardlatch.daemon.log.LogEvent;
 import org.mustardlatch.daemon.node.AppliedManifest;
 import org.mustardlatch.daemon.node.EventLoop;
+import org.mustardlatch.daemon.node.HostListService;
 import org.mustardlatch.daemon.node.ManifestInForce;
 import org.mustardlatch.daemon.node.ManifestService;
+import org.mustardlatch.daemon.node.NodeRegistration;
 import org.mustardlatch.daemon.node.NodeState;
 import org.mustardlatch.daemon.operator.NodeViews;
 import org.mustardlatch.daemon.operator.OperatorApi;
@@ -64,6 +66,8 @@
   private final RoutingService routing;
   private final UpstreamPoller poller;
   private final WorkspaceRates rates;
+  private final HostListService hostList;
+  private final NodeRegistration registration;
   private final CallerApi callers;
   private final OperatorApi operators;
   private final CountDownLatch drained = new CountDownLatch(1);
@@ -95,6 +99,12 @@
     EngineCalls engines = new EngineCalls(hosts, manifest, loop, calls, owner, this::post);
     routing = new RoutingService(loop, router, engines, peers.service()::send);
     poller = new UpstreamPoller(hosts, router::admittedEngines, loop, calls, this::post);
+    hostList =
+        new HostListService(
+            store, manifest, loop, id -> post(new RoutingEvent.UpstreamLeaving(id)));
+    registration =
+        new NodeRegistration(
+            settings.host(), store, peers.service(), loop, () -> peers.live().size());
     rates = new WorkspaceRates(peers.service(), peers, manifest, settings.region());
     PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     callers =
@@ -125,7 +135,8 @@
     peers.service().addListener(new ReadyListener());
     peers.service().addListener(new LedgerListener());
     peers.service().addListener(new RateListener());
-    var unusedAddress = peers.service().start();
+    peers.service().addListener(hostList);
+    registration.start(peers.service().start());
     manifests.start();
     ledger.start();
     poller.start();
@@ -156,6 +167,8 @@
     poller.stop();
     ledger.stop();
     manifests.stop();
+    hostList.stop();
+    registration.stop();
     peers.service().stop();
     store.close();
     peerLoop.stop();
--- /dev/null
+++ b/daemon/src/main/java/org/mustardlatch/daemon/node/NodeRegistration.java
@@ -0,0 +1,115 @@
+package org.mustardlatch.daemon.node;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.function.IntSupplier;
+import org.mustardlatch.core.model.HostId;
+import org.mustardlatch.core.time.TimerService;
+import org.mustardlatch.core.time.TimerSubscription;
+import org.mustardlatch.daemon.peer.PeerService;
+import org.mustardlatch.daemon.store.ObjectStoreClient;
+import org.mustardlatch.daemon.store.ReadResult;
+import org.mustardlatch.daemon.store.StoredObject;
+import org.mustardlatch.daemon.store.WriteResult;
+
+/**
+ * Makes this node findable through the object service (kind {@code nodes}) and finds others there,
+ * so that a node joins also when no seed answers. Without the object service it joins by seeds. The
+ * list is read again only while this node knows no other, which keeps the reads at one a start.
+ */
+public final class NodeRegistration {
+  private static final String KIND = "nodes";
+  private static final Duration PERIOD = Duration.ofSeconds(5);
+
+  private final HostId host;
+  private final ObjectStoreClient store;
+  private final PeerService peers;
+  private final TimerService timers;
+  private final IntSupplier members;
+  private TimerSubscription subscription = () -> {};
+  private volatile boolean registered;
+
+  /**
+   * Creates a registration that is not started.
+   *
+   * @param members returns the number of live nodes, this one included
+   */
+  public NodeRegistration(
+      HostId host,
+      ObjectStoreClient store,
+      PeerService peers,
+      TimerService timers,
+      IntSupplier members) {
+    this.host = host;
+    this.store = store;
+    this.peers = peers;
+    this.timers = timers;
+    this.members = members;
+  }
+
+  /**
+   * Registers and looks for other nodes until both have succeeded.
+   *
+   * @param address where other nodes reach this one
+   */
+  public synchronized void start(InetSocketAddress address) {
+    String text = address.getAddress().getHostAddress() + ":" + address.getPort();
+    step(text);
+    subscription = timers.every(PERIOD, () -> step(text));
+  }
+
+  /** Ends the tries. */
+  public synchronized void stop() {
+    subscription.cancel();
+  }
+
+  private void step(String address) {
+    if (!registered) {
+      register(address);
+    }
+    if (members.getAsInt() < 2) {
+      var unused = store.list(KIND, reason -> {}).thenAccept(found -> report(found, address));
+    }
+  }
+
+  private void register(String address) {
+    ObjectNode spec = JsonNodeFactory.instance.objectNode().put("address", address);
+    var unused =
+        store
+            .get(KIND, host.value())
+            .thenAccept(
+                read -> {
+                  switch (read) {
+                    case ReadResult.Found f -> write(f.object().version(), spec);
+                    case ReadResult.NotFound n -> write("", spec);
+                    case ReadResult.Failed f -> {}
+                  }
+                });
+  }
+
+  private void write(String version, ObjectNode spec) {
+    var unused =
+        store
+            .put(KIND, host.value(), version, spec)
+            .thenAccept(
+                written -> {
+                  if (written instanceof WriteResult.Stored) {
+                    registered = true;
+                  }
+                });
+  }
+
+  private void report(List<StoredObject> found, String own) {
+    List<String> addresses =
+        found.stream()
+            .map(o -> o.spec().path("address").asText())
+            .filter(a -> !a.isEmpty() && !a.equals(own))
+            .toList();
+    if (!addresses.isEmpty()) {
+      peers.nodesListed(addresses);
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/mustardlatch/daemon/PlatformListsTest.java
@@ -0,0 +1,71 @@
+package org.mustardlatch.daemon;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.net.URI;
+import java.net.http.HttpRequest;
+import java.time.Duration;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.mustardlatch.standin.EngineOptions;
+
+/** Guards against a host list that nobody reads and nodes that can join by seeds only. */
+class PlatformListsTest {
+  private final Fleet fleet =
+      new Fleet(
+          EngineOptions.fast("prefill-1", "prefill"),
+          EngineOptions.fast("decode-1", "decode"),
+          EngineOptions.fast("decode-2", "decode"));
+
+  @AfterEach
+  void close() {
+    fleet.close();
+  }
+
+  @Test
+  void anUpstreamOnALeavingHostGetsNoNewWorkWithinFiveSeconds() {
+    String leaving = fleet.engine(1).url().getAuthority();
+    String list =
+        """
+        {"metadata": {"resourceVersion": ""},
+         "spec": {"hosts": [{"address": "%s", "state": "leaving"}]}}"""
+            .formatted(leaving);
+    URI object = URI.create(fleet.store().url() + "/apis/mustardlatch.org/v1/hosts/current");
+    HttpRequest put =
+        HttpRequest.newBuilder(object).PUT(HttpRequest.BodyPublishers.ofString(list)).build();
+    assertThat(HttpCalls.send(put).status()).isAnyOf(200, 201);
+    Await.until("five seconds passed", Duration.ofSeconds(10), elapsed(Duration.ofSeconds(5)));
+    for (int i = 0; i < 20; i++) {
+      HttpCalls.Answer answer = Fleet.complete(fleet.daemon().callerPort(), "names " + i, 2, false);
+      String id = answer.header("x-request-id");
+      String explained = HttpCalls.get(fleet.operatorUrl("/explain/" + id)).body();
+      assertThat(explained).contains("decode=decode-2");
+      assertThat(explained).doesNotContain("decode=decode-1");
+    }
+  }
+
+  @Test
+  void nodesWithoutSeedsMeetThroughTheObjectService() {
+    Daemon other = fleet.startAnother("entry-2", 0);
+    try {
+      Await.until(
+          "two members",
+          Duration.ofSeconds(30),
+          () ->
+              HttpCalls.get(fleet.operatorUrl("/status")).json().path("members").size() == 2
+                  && HttpCalls.get(Fleet.url(other.operatorPort(), "/status"))
+                          .json()
+                          .path("members")
+                          .size()
+                      == 2);
+    } finally {
+      other.stop();
+    }
+  }
+
+  private static BooleanSupplier elapsed(Duration duration) {
+    long end = System.nanoTime() + duration.toNanos();
+    return () -> System.nanoTime() - end >= 0;
+  }
+}
