--- a/daemon/src/test/java/org/mustardlatch/daemon/Fleet.java
+++ b/daemon/src/test/java/org/mustardlatch/daemon/Fleet.java
@@ -76,6 +76,27 @@
     publishText(manifest() + more);
   }
 
+  /** Returns manifest text of the routes to an application service: one keyed, one for look-ups. */
+  static String orderRoutes(URI service) {
+    return """
+        [[upstream]]
+        name = "orders-1"
+        kind = "application"
+        zone = "heredia"
+        url = "%s"
+        [[route]]
+        path = "/orders/confirm"
+        methods = ["POST"]
+        upstreams = ["orders-1"]
+        [[route]]
+        path = "/orders/status"
+        methods = ["GET"]
+        upstreams = ["orders-1"]
+        idempotent = true
+        """
+        .formatted(service);
+  }
+
   /** Publishes the engines with a rate for the workspace, requests per second. */
   void publishLimited(double rate) {
     publishText(manifest().replace("[[model]]", "requests_per_second = " + rate + "\n[[model]]"));
--- a/daemon/src/test/java/org/mustardlatch/daemon/GoldenSessionTest.java
+++ b/daemon/src/test/java/org/mustardlatch/daemon/GoldenSessionTest.java
@@ -25,24 +25,7 @@
 
   GoldenSessionTest() {
     orders.start();
-    fleet.publish(
-        """
-        [[upstream]]
-        name = "orders-1"
-        kind = "application"
-        zone = "heredia"
-        url = "%s"
-        [[route]]
-        path = "/orders/confirm"
-        methods = ["POST"]
-        upstreams = ["orders-1"]
-        [[route]]
-        path = "/orders/status"
-        methods = ["GET"]
-        upstreams = ["orders-1"]
-        idempotent = true
-        """
-            .formatted(orders.url()));
+    fleet.publish(Fleet.orderRoutes(orders.url()));
   }
 
   @AfterEach
--- a/daemon/src/test/java/org/mustardlatch/daemon/KeyedWorkTest.java
+++ b/daemon/src/test/java/org/mustardlatch/daemon/KeyedWorkTest.java
@@ -18,24 +18,7 @@
   @BeforeEach
   void publishRoutes() {
     application.start();
-    fleet.publish(
-        """
-        [[upstream]]
-        name = "orders-1"
-        kind = "application"
-        zone = "heredia"
-        url = "%s"
-        [[route]]
-        path = "/orders/confirm"
-        methods = ["POST"]
-        upstreams = ["orders-1"]
-        [[route]]
-        path = "/orders/status"
-        methods = ["GET"]
-        upstreams = ["orders-1"]
-        idempotent = true
-        """
-            .formatted(application.url()));
+    fleet.publish(Fleet.orderRoutes(application.url()));
   }
 
   @AfterEach
--- a/daemon/src/test/java/org/mustardlatch/daemon/ProcessFaultTest.java
+++ b/daemon/src/test/java/org/mustardlatch/daemon/ProcessFaultTest.java
@@ -184,17 +184,9 @@
             [[model]]
             name = "wording"
             first_token_target_ms = 60_000
-            [[upstream]]
-            name = "orders-1"
-            kind = "application"
-            zone = "heredia"
-            url = "%s"
-            [[route]]
-            path = "/orders/confirm"
-            methods = ["POST"]
-            upstreams = ["orders-1"]
             """
-                .formatted(KEY_SHA256, orders.url()));
+                .formatted(KEY_SHA256));
+    text.append(Fleet.orderRoutes(orders.url()));
     addEngine(text, "prefill-1", "prefill", 0);
     addEngine(text, "decode-1", "decode", 1);
     addEngine(text, "decode-2", "decode", 2);
