--- a/daemon/src/main/java/org/mustardlatch/daemon/Daemon.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/Daemon.java
@@ -6,16 +6,20 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.mustardlatch.core.ledger.KeyedPolicy;
 import org.mustardlatch.core.ledger.LedgerLimits;
 import org.mustardlatch.core.manifest.LedgerPolicy;
 import org.mustardlatch.core.membership.MemberList;
 import org.mustardlatch.core.model.HostId;
+import org.mustardlatch.core.model.UpstreamId;
 import org.mustardlatch.core.peer.LedgerMessage;
 import org.mustardlatch.core.peer.PeerMessage;
 import org.mustardlatch.core.routing.NodeRouter;
@@ -122,7 +126,8 @@
             settings.operatorAddress(),
             state,
             manifest,
-            new NodeViews(settings, state, manifest, peers, routing, engines),
+            new NodeViews(
+                settings, state, manifest, peers, routing, engines, () -> internals(router)),
             manifests,
             this::drain,
             registry);
@@ -186,6 +191,25 @@
     return operators.port();
   }
 
+  /** Returns the state of the parts that decide; reads the router on its own thread. */
+  private Map<String, Object> internals(NodeRouter router) {
+    CompletableFuture<Map<String, Object>> decisions = new CompletableFuture<>();
+    loop.schedule(
+        Duration.ZERO,
+        () ->
+            decisions.complete(
+                Map.of(
+                    "incarnation", router.incarnation(),
+                    "open_requests", router.openRequests(),
+                    "open_reservations", router.openReservations(),
+                    "admitted_engines",
+                        router.admittedEngines().stream().map(UpstreamId::value).toList())));
+    return Map.of(
+        "routing", decisions.completeOnTimeout(Map.of(), 2, TimeUnit.SECONDS).join(),
+        "peers", peers.service().dump(),
+        "peer_counters", peers.service().counters());
+  }
+
   private void refuse() {
     state.enter(NodeState.Phase.REFUSING);
     post(new RoutingEvent.DrainRequested());
--- a/daemon/src/main/java/org/mustardlatch/daemon/operator/NodeViews.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/operator/NodeViews.java
@@ -1,9 +1,13 @@
 package org.mustardlatch.daemon.operator;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.Supplier;
 import org.mustardlatch.core.model.RequestId;
 import org.mustardlatch.core.settings.Settings;
 import org.mustardlatch.daemon.node.ManifestInForce;
@@ -15,27 +19,36 @@
 
 /** What operators see of the state of a node. */
 public final class NodeViews {
+  private static final ObjectMapper JSON = new ObjectMapper();
+
   private final Settings settings;
   private final NodeState state;
   private final ManifestInForce manifest;
   private final Membership members;
   private final RoutingService routing;
   private final EngineCalls engines;
+  private final Supplier<Map<String, Object>> internals;
 
-  /** Creates views of the given parts. */
+  /**
+   * Creates views of the given parts.
+   *
+   * @param internals returns the state of the parts that decide, for a dump; may block for 2 s
+   */
   public NodeViews(
       Settings settings,
       NodeState state,
       ManifestInForce manifest,
       Membership members,
       RoutingService routing,
-      EngineCalls engines) {
+      EngineCalls engines,
+      Supplier<Map<String, Object>> internals) {
     this.settings = settings;
     this.state = state;
     this.manifest = manifest;
     this.members = members;
     this.routing = routing;
     this.engines = engines;
+    this.internals = internals;
   }
 
   /** Returns the summary. */
@@ -44,7 +57,7 @@
     status.put("host", settings.host().value());
     status.put("region", settings.region().value()).put("zone", settings.zone().value());
     status.put("incarnation", members.incarnation());
-    status.put("phase", state.phase().name().toLowerCase(java.util.Locale.ROOT));
+    status.put("phase", state.phase().name().toLowerCase(Locale.ROOT));
     status.put("ready", state.phase() == NodeState.Phase.READY);
     status.put("revision", manifest.revision());
     manifest.current().ifPresent(m -> status.put("digest", m.digest()));
@@ -68,6 +81,7 @@
     dump.put("engine_calls_in_progress", engines.inProgress());
     ArrayNode requests = dump.putArray("requests");
     routing.requests().forEach(id -> requests.add(id.value()));
+    internals.get().forEach((part, value) -> dump.set(part, JSON.valueToTree(value)));
     manifest.current().ifPresent(m -> dump.put("manifest", m.text()));
     return dump;
   }
