Explain how a request ended, tell a repeated publish that its content is in force

After: explain ends with rule 'completed' (attempt, engine, tokens); the conflict says that the latest revision already has the content; NODE_GONE is for other nodes only. Conclusion: small faults of first use, no change of decisions.

--- a/core/src/main/java/org/mustardlatch/core/routing/EntrySide.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/EntrySide.java
@@ -303,6 +303,9 @@
     driver.release(a, Outcome.FINISHED);
     promote(q, a);
     q.current = null;
+    String detail =
+        "attempt " + a.id.number() + " on " + a.decode + ", " + q.tokensSent + " tokens";
+    fx.explain(q.request.id(), "completed", detail);
     if (q.suspectRun || evidence.standing(q.request.fingerprint(), fx.now()) == Standing.SUSPECT) {
       evidenceSide.cleared(q.request.fingerprint());
     }
--- a/daemon/src/main/java/org/mustardlatch/daemon/node/ManifestService.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/node/ManifestService.java
@@ -1,6 +1,7 @@
 package org.mustardlatch.daemon.node;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -94,7 +95,7 @@
         stored(c.other());
         throw new MustardlatchException(
             ErrorCode.MANIFEST_CONFLICT,
-            "revision %d is the latest, not %d; the offered manifest differs from it by:\n%s"
+            "revision %d is the latest, not %d; %s"
                 .formatted(c.other().revision(), base, difference(c.other().text(), offered)));
       }
       case PublishResult.Refused r ->
@@ -119,12 +120,16 @@
   private static String difference(String latest, Manifest offered) {
     ParseResult<Manifest> result = ManifestParser.parse("latest", latest);
     if (!result.isValid()) {
-      return "the latest can't be read";
+      return "it can't be read";
     }
     Manifest before = result.orThrow(ErrorCode.MANIFEST_INVALID);
-    return ManifestDiff.between(before, offered).changes().stream()
+    List<ManifestDiff.Change> changes = ManifestDiff.between(before, offered).changes();
+    if (changes.isEmpty()) {
+      return "it already has the content of the offered manifest";
+    }
+    return changes.stream()
         .map(ManifestDiff.Change::toString)
-        .collect(Collectors.joining("\n"));
+        .collect(Collectors.joining("\n", "the offered manifest differs from it by:\n", ""));
   }
 
   private static MustardlatchException unknown(long revision, String reason) {
--- a/daemon/src/main/java/org/mustardlatch/daemon/peer/PeerService.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/peer/PeerService.java
@@ -179,6 +179,7 @@
       Set<HostId> joined = new HashSet<>(now);
       joined.removeAll(known);
       known.removeAll(now);
+      known.remove(options.host());
       joined.forEach(h -> EventLog.log(LogEvent.NODE_JOINED, h, now.size()));
       known.forEach(h -> EventLog.log(LogEvent.NODE_GONE, h, now.size()));
       known = now;
