Share argument reading of the stand-ins, derive limited workspaces from the budget terms

Cause: the last read of the change found StandinMain's argument reading written again in DemoClient and OverheadBench, the filter for limited workspaces twice in WorkspaceRates with a catch that could not be reached, and the key digest computed again in ProcessFaultTest. Conclusion: no change of behaviour.

--- a/daemon/src/main/java/org/mustardlatch/daemon/WorkspaceRates.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/WorkspaceRates.java
@@ -4,9 +4,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Collectors;
 import org.mustardlatch.core.budget.BudgetTerms;
 import org.mustardlatch.core.manifest.Manifest;
 import org.mustardlatch.core.manifest.Workspace;
@@ -33,7 +31,7 @@
   private final Membership members;
   private final ManifestInForce manifest;
   private final RegionId region;
-  private volatile Set<WorkspaceId> limited = Set.of();
+  private volatile Set<String> limited = Set.of();
 
   WorkspaceRates(PeerService peers, Membership members, ManifestInForce manifest, RegionId region) {
     this.peers = peers;
@@ -56,11 +54,7 @@
       }
     }
     peers.configureBudgets(terms);
-    limited =
-        applied.workspaces().stream()
-            .filter(w -> w.requestsPerSecond() < UNLIMITED)
-            .map(Workspace::id)
-            .collect(Collectors.toUnmodifiableSet());
+    limited = Set.copyOf(terms.keySet());
   }
 
   private double regionShare() {
@@ -71,16 +65,13 @@
 
   @Override
   public boolean take(WorkspaceId workspace) {
-    if (!limited.contains(workspace)) {
+    String budget = budget(workspace);
+    if (!limited.contains(budget)) {
       return true;
     }
     CompletableFuture<Boolean> granted = new CompletableFuture<>();
-    peers.spend(budget(workspace), 1, granted::complete);
-    try {
-      return granted.completeOnTimeout(false, LEASE_WAIT_MILLIS, TimeUnit.MILLISECONDS).join();
-    } catch (CompletionException e) {
-      return false;
-    }
+    peers.spend(budget, 1, granted::complete);
+    return granted.completeOnTimeout(false, LEASE_WAIT_MILLIS, TimeUnit.MILLISECONDS).join();
   }
 
   private static String budget(WorkspaceId workspace) {
--- a/daemon/src/test/java/org/mustardlatch/daemon/ProcessFaultTest.java
+++ b/daemon/src/test/java/org/mustardlatch/daemon/ProcessFaultTest.java
@@ -4,9 +4,7 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 import static java.util.concurrent.Future.State.RUNNING;
 
-import com.google.common.hash.Hashing;
 import java.io.UncheckedIOException;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
@@ -30,8 +28,6 @@
 
   private static final Duration STEP_BOUND = Duration.ofSeconds(30);
   private static final int ENDLESS = 10_000;
-  private static final String KEY_SHA256 =
-      Hashing.sha256().hashString(Fleet.KEY, StandardCharsets.UTF_8).toString();
 
   @TempDir Path directory;
 
@@ -185,7 +181,7 @@
             name = "wording"
             first_token_target_ms = 60_000
             """
-                .formatted(KEY_SHA256));
+                .formatted(Fleet.KEY_SHA256));
     text.append(Fleet.orderRoutes(orders.url()));
     addEngine(text, "prefill-1", "prefill", 0);
     addEngine(text, "decode-1", "decode", 1);
--- a/standin/src/main/java/org/mustardlatch/standin/DemoClient.java
+++ b/standin/src/main/java/org/mustardlatch/standin/DemoClient.java
@@ -12,8 +12,6 @@
 import okhttp3.Request;
 import okhttp3.RequestBody;
 import okhttp3.Response;
-import org.kohsuke.args4j.CmdLineException;
-import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
 
 /**
@@ -22,7 +20,6 @@
  */
 public final class DemoClient {
   private static final MediaType JSON = MediaType.get("application/json");
-  private static final int EXIT_USAGE = 2;
 
   private static final int STATUS_REFUSED = 503;
   private static final int MAX_ATTEMPTS = 5;
@@ -117,14 +114,7 @@
   /** Makes one call; exits with 0 when it succeeded, 1 when not, 2 on wrong arguments. */
   public static void main(String[] args) throws IOException, InterruptedException {
     Arguments arguments = new Arguments();
-    CmdLineParser parser = new CmdLineParser(arguments);
-    try {
-      parser.parseArgument(args);
-    } catch (CmdLineException e) {
-      System.err.println("error: " + e.getMessage());
-      parser.printUsage(System.err);
-      System.exit(EXIT_USAGE);
-    }
+    StandinMain.parse(arguments, args);
     System.exit(arguments.run(new DemoClient(System.out)) ? 0 : 1);
   }
 
--- a/standin/src/main/java/org/mustardlatch/standin/OverheadBench.java
+++ b/standin/src/main/java/org/mustardlatch/standin/OverheadBench.java
@@ -12,8 +12,6 @@
 import okhttp3.RequestBody;
 import okhttp3.Response;
 import org.HdrHistogram.Histogram;
-import org.kohsuke.args4j.CmdLineException;
-import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
 
 /**
@@ -28,7 +26,6 @@
   /** Not a valid host name, because daemons cancel the work of hosts that are not alive. */
   private static final String OWNER = "(bench)/1";
 
-  private static final int EXIT_USAGE = 2;
   private static final long MAX_MICROS = 60_000_000;
 
   private final Arguments arguments;
@@ -160,14 +157,7 @@
   /** Runs the measurement; exits with 2 on wrong arguments. */
   public static void main(String[] args) throws IOException {
     Arguments arguments = new Arguments();
-    CmdLineParser parser = new CmdLineParser(arguments);
-    try {
-      parser.parseArgument(args);
-    } catch (CmdLineException e) {
-      System.err.println("error: " + e.getMessage());
-      parser.printUsage(System.err);
-      System.exit(EXIT_USAGE);
-    }
+    StandinMain.parse(arguments, args);
     new OverheadBench(arguments).run();
     System.exit(0);
   }
--- a/standin/src/main/java/org/mustardlatch/standin/StandinMain.java
+++ b/standin/src/main/java/org/mustardlatch/standin/StandinMain.java
@@ -12,11 +12,8 @@
 
   private StandinMain() {}
 
-  /**
-   * Reads the arguments, starts the server, prints its URL as {@code listening on URL} and waits
-   * until the process is stopped. Exits with code 2 when the arguments are wrong.
-   */
-  static void run(Object arguments, String[] args, Supplier<URI> start) {
+  /** Reads the arguments into an object; exits with code 2 when they are wrong. */
+  static void parse(Object arguments, String[] args) {
     CmdLineParser parser = new CmdLineParser(arguments);
     try {
       parser.parseArgument(args);
@@ -25,6 +22,14 @@
       parser.printUsage(System.err);
       System.exit(EXIT_USAGE);
     }
+  }
+
+  /**
+   * Reads the arguments, starts the server, prints its URL as {@code listening on URL} and waits
+   * until the process is stopped. Exits with code 2 when the arguments are wrong.
+   */
+  static void run(Object arguments, String[] args, Supplier<URI> start) {
+    parse(arguments, args);
     System.out.println("listening on " + start.get());
     try {
       new CountDownLatch(1).await();
