--- /dev/null
+++ b/core/src/test/java/org/mustardlatch/core/fleet/FleetBench.java
@@ -0,0 +1,66 @@
+package org.mustardlatch.core.fleet;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Locale;
+import org.mustardlatch.core.rollout.RolloutEvent;
+
+/** Times of a large fleet in virtual time; run by {@code bin/bench-peers --virtual [nodes]}. */
+public final class FleetBench {
+  private static final int SEEDS = 3;
+
+  private FleetBench() {}
+
+  /** Runs the program. */
+  public static void main(String[] arguments) {
+    int size = arguments.length > 0 ? Integer.parseInt(arguments[0]) : 390;
+    for (int seed = 1; seed <= SEEDS; seed++) {
+      run(size, seed);
+    }
+  }
+
+  private static void run(int size, int seed) {
+    long cpu = System.nanoTime();
+    Fleet fleet = new Fleet(seed);
+    for (int i = 0; i < size; i++) {
+      fleet.start("n" + i, i % 2 == 0 ? "r0" : "r1", fleet.seeds());
+      fleet.run(Duration.ofMillis(20));
+    }
+    double joined = fleet.runUntilAgreed(Duration.ofSeconds(60));
+    long before = fleet.messages;
+    fleet.run(Duration.ofSeconds(20));
+    double rate = (fleet.messages - before) / 20.0 / size;
+    print(seed, "join of the last node", joined);
+    System.out.printf(Locale.ROOT, "seed %d: %.1f messages/s and node%n", seed, rate);
+    fleet.storedRevision = 1;
+    fleet.node(fleet.random.nextInt(size)).toRollout(new RolloutEvent.Published(1, "text"));
+    print(seed, "in force everywhere", fleet.runUntil(limit(), n -> n.rollout.revision() == 1));
+    fleet.loss = 0.3;
+    fleet.node(fleet.random.nextInt(size)).toRollout(new RolloutEvent.Published(2, "text"));
+    print(seed, "the same with 30% loss", fleet.runUntil(limit(), n -> n.rollout.revision() == 2));
+    fleet.loss = 0;
+    fleet.run(Duration.ofSeconds(20));
+    fleet.node(size - 1).kill();
+    print(seed, "one killed node gone everywhere", fleet.runUntilAgreed(limit()));
+    List<FleetNode> live = new ArrayList<>(fleet.live());
+    Collections.shuffle(live, fleet.random);
+    fleet.each(live.subList(0, Math.min(20, size / 4)), FleetNode::kill);
+    print(seed, "a rack of 20 gone everywhere", fleet.runUntilAgreed(limit()));
+    fleet.cut = (a, b) -> !a.region().equals(b.region());
+    fleet.run(Duration.ofSeconds(90));
+    fleet.cut = (a, b) -> false;
+    print(seed, "partition of 90 s healed", fleet.runUntilAgreed(limit()));
+    System.out.printf(
+        Locale.ROOT, "seed %d: %.1f s of wall time%n", seed, (System.nanoTime() - cpu) / 1e9);
+  }
+
+  private static Duration limit() {
+    return Duration.ofSeconds(60);
+  }
+
+  private static void print(int seed, String what, double seconds) {
+    System.out.printf(Locale.ROOT, "seed %d: %s after %.2f s%n", seed, what, seconds);
+  }
+}
--- a/wire/src/main/java/org/mustardlatch/wire/PeerNode.java
+++ b/wire/src/main/java/org/mustardlatch/wire/PeerNode.java
@@ -189,6 +189,11 @@
     return transport.counters();
   }
 
+  /** Returns the number of open connections. */
+  public int connections() {
+    return transport.connections();
+  }
+
   /** Returns the state for a dump. Must not be called by the listener. */
   public Map<String, Object> dump() {
     CompletableFuture<Map<String, Object>> dump = new CompletableFuture<>();
--- a/wire/src/main/java/org/mustardlatch/wire/PeerTransport.java
+++ b/wire/src/main/java/org/mustardlatch/wire/PeerTransport.java
@@ -155,6 +155,11 @@
     return counters;
   }
 
+  /** Returns the number of open connections, opened and accepted ones. */
+  public int connections() {
+    return channels.size();
+  }
+
   /** Returns the state for a dump: connections and queues by peer. */
   public Map<String, Object> dump() {
     Map<String, Object> links = new LinkedHashMap<>();
--- /dev/null
+++ b/wire/src/test/java/org/mustardlatch/wire/bench/BenchFleet.java
@@ -0,0 +1,242 @@
+package org.mustardlatch.wire.bench;
+
+import com.sun.management.OperatingSystemMXBean;
+import io.netty.channel.EventLoopGroup;
+import io.netty.util.internal.PlatformDependent;
+import java.lang.management.ManagementFactory;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
+import org.mustardlatch.core.model.HostId;
+import org.mustardlatch.core.model.RegionId;
+import org.mustardlatch.core.model.ZoneId;
+import org.mustardlatch.wire.PeerNode;
+import org.mustardlatch.wire.PeerNodeOptions;
+import org.mustardlatch.wire.SystemTimers;
+import org.mustardlatch.wire.TestCertificates;
+
+/** Runs one fleet and measures it. */
+final class BenchFleet implements AutoCloseable {
+  private static final int ZONES = 7;
+  private static final int ZONES_OF_FIRST_REGION = 4;
+  private static final long MAX_MILLIS = 600_000;
+
+  private final int size;
+  private final BenchOptions options;
+  private final TestCertificates authority;
+  private final EventLoopGroup group;
+  private final SystemTimers timers = new SystemTimers(1);
+  private final Random random = new Random(1);
+  private final List<PeerNode> nodes = new ArrayList<>();
+  private final List<BenchNode> recorders = new ArrayList<>();
+  private final AtomicLong errors = new AtomicLong();
+  private final Histogram spread = new ConcurrentHistogram(MAX_MILLIS, 3);
+  private final Histogram detection = new Histogram(MAX_MILLIS, 3);
+  private final long deadlineNanos;
+  private volatile long publishedNanos;
+  private volatile long publishedRevision;
+  private final CountDownLatch never = new CountDownLatch(1);
+
+  BenchFleet(int size, BenchOptions options, TestCertificates authority, EventLoopGroup group) {
+    this.size = size;
+    this.options = options;
+    this.authority = authority;
+    this.group = group;
+    this.deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(options.limitSeconds);
+  }
+
+  BenchResult run() throws InterruptedException {
+    long start = System.nanoTime();
+    join();
+    final double joinSeconds = (System.nanoTime() - start) / 1e9;
+    progress("settling");
+    pause(5_000);
+    progress("steady phase");
+    final BenchResult.Phase steady = measure(() -> pause(options.steadySeconds * 1_000L));
+    progress("configuration changes");
+    final BenchResult.Phase changing = measure(this::changes);
+    progress("kills");
+    kills();
+    progress("");
+    return new BenchResult(
+        size,
+        joinSeconds,
+        steady,
+        changing,
+        spread,
+        detection,
+        refusals(),
+        recorders.stream().mapToLong(r -> r.suspicions).sum(),
+        errors.get());
+  }
+
+  private void join() throws InterruptedException {
+    List<String> seeds = new ArrayList<>();
+    for (int i = 0; i < size; i++) {
+      InetSocketAddress bound = start(i, seeds);
+      if (i < 3) {
+        seeds.add(bound.getAddress().getHostAddress() + ":" + bound.getPort());
+      }
+      pause(1_000 / options.joinsPerSecond);
+    }
+    await("join", () -> recorders.stream().allMatch(r -> r.size() == size));
+  }
+
+  private InetSocketAddress start(int i, List<String> seeds) {
+    String name = "n" + i;
+    int zone = i % ZONES;
+    BenchNode recorder = new BenchNode(errors, this::applied);
+    PeerNode node =
+        new PeerNode(
+            new PeerNodeOptions(
+                new HostId(name),
+                new RegionId(zone < ZONES_OF_FIRST_REGION ? "r0" : "r1"),
+                new ZoneId("z" + zone),
+                System.currentTimeMillis(),
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                null,
+                seeds,
+                authority.issue(name),
+                group),
+            timers,
+            new Random(i),
+            recorder);
+    nodes.add(node);
+    recorders.add(recorder);
+    return node.start();
+  }
+
+  private void applied(long revision, long atNanos) {
+    if (revision == publishedRevision) {
+      spread.recordValue(Math.min(MAX_MILLIS, (atNanos - publishedNanos) / 1_000_000));
+    }
+  }
+
+  private void changes() throws InterruptedException {
+    for (int c = 1; c <= options.changes; c++) {
+      publishedRevision = c;
+      publishedNanos = System.nanoTime();
+      nodes.get(random.nextInt(size)).published(c, body(c));
+      pause(3_000);
+    }
+    long last = options.changes;
+    await("last change", () -> nodes.stream().allMatch(n -> n.revision() == last));
+  }
+
+  private String body(int revision) {
+    return (revision + "=" + "x".repeat(options.bodyBytes)).substring(0, options.bodyBytes);
+  }
+
+  private void kills() throws InterruptedException {
+    for (int k = 0; k < options.kills; k++) {
+      int victim = nodes.size() - 1;
+      HostId host = new HostId("n" + victim);
+      PeerNode node = nodes.remove(victim);
+      recorders.remove(victim);
+      long killed = System.nanoTime();
+      node.stop();
+      await("kill", () -> recorders.stream().noneMatch(r -> r.sees(host)));
+      for (BenchNode r : recorders) {
+        detection.recordValue(
+            Math.min(MAX_MILLIS, Math.max(0, r.membersChangedNanos - killed) / 1_000_000));
+      }
+    }
+  }
+
+  private interface Work {
+    void run() throws InterruptedException;
+  }
+
+  private BenchResult.Phase measure(Work work) throws InterruptedException {
+    Map<String, Long> before = totals();
+    long cpu = processNanos();
+    final long start = System.nanoTime();
+    work.run();
+    final double seconds = (System.nanoTime() - start) / 1e9;
+    final double used = (processNanos() - cpu) / 1e9;
+    Map<String, Long> after = totals();
+    System.gc();
+    Runtime r = Runtime.getRuntime();
+    return new BenchResult.Phase(
+        used / seconds / size,
+        rate(before, after, "bytes_sent", seconds),
+        rate(before, after, "bytes_received", seconds),
+        rate(before, after, "frames_sent", seconds),
+        (double) (r.totalMemory() - r.freeMemory()) / size,
+        (double) PlatformDependent.usedDirectMemory() / size,
+        connections());
+  }
+
+  private double connections() {
+    return nodes.stream().mapToInt(PeerNode::connections).average().orElse(0);
+  }
+
+  private double rate(
+      Map<String, Long> before, Map<String, Long> after, String name, double seconds) {
+    return (after.getOrDefault(name, 0L) - before.getOrDefault(name, 0L)) / seconds / size;
+  }
+
+  private Map<String, Long> totals() {
+    Map<String, Long> sum = new LinkedHashMap<>();
+    nodes.forEach(n -> n.counters().snapshot().forEach((k, v) -> sum.merge(k, v, Long::sum)));
+    return sum;
+  }
+
+  private Map<String, Long> refusals() {
+    Map<String, Long> found = new LinkedHashMap<>();
+    totals()
+        .forEach(
+            (k, v) -> {
+              if (v > 0
+                  && (k.startsWith("refused_")
+                      || k.startsWith("silent")
+                      || k.startsWith("queue_"))) {
+                found.put(k, v);
+              }
+            });
+    return found;
+  }
+
+  private static long processNanos() {
+    return ((OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean())
+        .getProcessCpuTime();
+  }
+
+  private void await(String what, BooleanSupplier condition) throws InterruptedException {
+    while (!condition.getAsBoolean()) {
+      if (System.nanoTime() - deadlineNanos > 0) {
+        throw new IllegalStateException(
+            what + " not finished within " + options.limitSeconds + " s at " + size + " nodes");
+      }
+      progress(what);
+      pause(100);
+    }
+  }
+
+  private void pause(long millis) throws InterruptedException {
+    if (never.await(millis, TimeUnit.MILLISECONDS)) {
+      throw new IllegalStateException("latch is never released");
+    }
+  }
+
+  private void progress(String phase) {
+    System.err.printf("\r%-60s", phase.isEmpty() ? "" : size + " nodes: " + phase);
+    System.err.flush();
+  }
+
+  @Override
+  public void close() {
+    nodes.forEach(PeerNode::stop);
+    timers.close();
+  }
+}
--- /dev/null
+++ b/wire/src/test/java/org/mustardlatch/wire/bench/BenchResult.java
@@ -0,0 +1,114 @@
+package org.mustardlatch.wire.bench;
+
+import java.util.LinkedHashMap;
+import java.util.Locale;
+import java.util.Map;
+import org.HdrHistogram.Histogram;
+
+/**
+ * Figures of one fleet size; rates are per node.
+ *
+ * @param steady figures without configuration changes
+ * @param changing figures with a configuration change every three seconds
+ * @param spread time from a publish until the revision is in force, over all nodes and changes, ms
+ * @param detection time from a kill until a node dropped the victim, over all nodes and kills, ms
+ */
+record BenchResult(
+    int nodes,
+    double joinSeconds,
+    Phase steady,
+    Phase changing,
+    Histogram spread,
+    Histogram detection,
+    Map<String, Long> refusals,
+    long suspicions,
+    long errors) {
+
+  /**
+   * Rates of one phase, per node.
+   *
+   * @param coreShare processor time as a share of a core, all of the process divided by nodes
+   */
+  record Phase(
+      double coreShare,
+      double bytesSent,
+      double bytesReceived,
+      double messagesSent,
+      double heapBytes,
+      double directBytes,
+      double connections) {
+    Map<String, Double> toMap() {
+      Map<String, Double> all = new LinkedHashMap<>();
+      all.put("core_share", coreShare);
+      all.put("bytes_sent_per_s", bytesSent);
+      all.put("bytes_received_per_s", bytesReceived);
+      all.put("messages_sent_per_s", messagesSent);
+      all.put("heap_bytes", heapBytes);
+      all.put("direct_bytes", directBytes);
+      all.put("connections", connections);
+      return all;
+    }
+
+    String row(int nodes, String name) {
+      return String.format(
+          Locale.ROOT,
+          "%5d %-8s %8.3f%% %9.0f %9.0f %8.1f %9.2f %9.2f %7.1f",
+          nodes,
+          name,
+          coreShare * 100,
+          bytesSent,
+          bytesReceived,
+          messagesSent,
+          heapBytes / 1e6,
+          directBytes / 1e6,
+          connections);
+    }
+  }
+
+  static String header() {
+    return "nodes phase        core   sent B/s  recv B/s   msg/s   heap MB direct MB   conns";
+  }
+
+  String rows() {
+    return steady.row(nodes, "steady")
+        + "\n"
+        + changing.row(nodes, "changes")
+        + String.format(
+            Locale.ROOT,
+            "%n      join %.1f s, in force p50 %d p99 %d max %d ms, detection p50 %d p99 %d max %d ms,"
+                + " suspicions %d, errors %d, refused %s",
+            joinSeconds,
+            spread.getValueAtPercentile(50),
+            spread.getValueAtPercentile(99),
+            spread.getMaxValue(),
+            detection.getValueAtPercentile(50),
+            detection.getValueAtPercentile(99),
+            detection.getMaxValue(),
+            suspicions,
+            errors,
+            refusals);
+  }
+
+  Map<String, Object> toMap() {
+    Map<String, Object> all = new LinkedHashMap<>();
+    all.put("nodes", nodes);
+    all.put("join_s", joinSeconds);
+    all.put("steady", steady.toMap());
+    all.put("changing", changing.toMap());
+    all.put("in_force_ms", percentiles(spread));
+    all.put("detection_ms", percentiles(detection));
+    all.put("suspicions", suspicions);
+    all.put("errors", errors);
+    all.put("refusals", refusals);
+    return all;
+  }
+
+  private static Map<String, Long> percentiles(Histogram h) {
+    Map<String, Long> all = new LinkedHashMap<>();
+    all.put("count", h.getTotalCount());
+    all.put("p50", h.getValueAtPercentile(50));
+    all.put("p99", h.getValueAtPercentile(99));
+    all.put("max", h.getMaxValue());
+    return all;
+  }
+}
