--- /dev/null
+++ b/core/src/main/java/org/mustardlatch/core/balancing/RepeatBudget.java
@@ -0,0 +1,40 @@
+package org.mustardlatch.core.balancing;
+
+/**
+ * Repeats of requests that a node may send to one service, as a fraction of its own requests to it.
+ * Because it is a fraction of local traffic and the initial units are few, the sum over all nodes
+ * keeps the fleet's bound without messages.
+ */
+public final class RepeatBudget {
+  private final double capacity;
+  private double units;
+
+  /**
+   * Creates a budget.
+   *
+   * @param initial units at the start, so that a failure right after the start can be repeated
+   * @param capacity most units that are saved up; bounds a burst of repeats
+   */
+  public RepeatBudget(double initial, double capacity) {
+    this.units = initial;
+    this.capacity = capacity;
+  }
+
+  /**
+   * Takes note of a request of a caller.
+   *
+   * @param fraction units that it earns, 0 to 1
+   */
+  public void earn(double fraction) {
+    units = Math.min(capacity, units + fraction);
+  }
+
+  /** Takes one unit; returns false when there is none. */
+  public boolean take() {
+    if (units < 1) {
+      return false;
+    }
+    units -= 1;
+    return true;
+  }
+}
--- a/core/src/main/java/org/mustardlatch/core/manifest/UpstreamRole.java
+++ b/core/src/main/java/org/mustardlatch/core/manifest/UpstreamRole.java
@@ -8,6 +8,8 @@
   DECODE,
   /** A model engine that does both. */
   MIXED,
+  /** A decode engine that can also process the prompt of a request that it decodes itself. */
+  DECODE_WITH_PROMPT,
   /** A plain application service. */
   APPLICATION;
 
@@ -18,6 +20,6 @@
 
   /** Returns whether this upstream generates tokens. */
   public boolean decodes() {
-    return this == DECODE || this == MIXED;
+    return this == DECODE || this == MIXED || this == DECODE_WITH_PROMPT;
   }
 }
--- a/core/src/main/java/org/mustardlatch/core/routing/AttemptTimes.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/AttemptTimes.java
@@ -48,6 +48,10 @@
         a.sinceNanos + TRANSFER_RESERVE_NANOS, handle.expiresNanos() - TRANSFER_RESERVE_NANOS);
   }
 
+  private static long transferCheck(Attempt a, long now) {
+    return a.handle == null ? now : transferLimit(a, a.handle);
+  }
+
   long askTimeout(Attempt a) {
     return a.cell.region().equals(region) ? ASK_TIMEOUT_NANOS : REMOTE_ASK_TIMEOUT_NANOS;
   }
@@ -61,7 +65,7 @@
         yield a.lastAskNanos + (unanswered ? askTimeout(a) : QUEUE_CHECK_NANOS);
       }
       case PREFILL -> a.extended ? latestUseful(q, a) + 1 : lateAt(a);
-      case TRANSFER -> a.handle == null ? now : transferLimit(a, a.handle);
+      case TRANSFER -> Math.max(now + DECODE_CHECK_NANOS / 10, transferCheck(a, now));
       case DECODE -> now + DECODE_CHECK_NANOS;
     };
   }
--- a/core/src/main/java/org/mustardlatch/core/routing/EntryRequest.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/EntryRequest.java
@@ -37,6 +37,10 @@
   double crossingCost;
 
   int tokensSent;
+
+  /** Engines that may have begun to generate the answer. */
+  int runs;
+
   private int attempts;
 
   EntryRequest(GenerationRequest request, long arrivedNanos) {
@@ -65,6 +69,11 @@
     return request.promptTokens() + tokensSent;
   }
 
+  /** Returns whether one more engine may generate the answer. */
+  boolean mayRunAgain() {
+    return request.resumable() && runs < request.maxRuns();
+  }
+
   int remainingTokens() {
     return Math.max(0, request.maxOutputTokens() - tokensSent);
   }
--- a/core/src/main/java/org/mustardlatch/core/routing/EntrySide.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/EntrySide.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import org.jspecify.annotations.Nullable;
+import org.mustardlatch.core.balancing.RepeatBudget;
 import org.mustardlatch.core.error.ErrorCode;
 import org.mustardlatch.core.manifest.Manifest;
 import org.mustardlatch.core.manifest.Model;
@@ -29,6 +30,10 @@
   /** KV caches with less time left than this are not given to another decode engine. */
   private static final long MIN_KV_LIFE_NANOS = 150_000_000;
 
+  // Eight nodes that each spend all that they saved stay within some tens of extra attempts.
+  private static final double RETRY_UNITS = 4;
+  private static final double MAX_RETRY_UNITS = 6;
+
   static final int MAX_ATTEMPTS = 8;
   static final Duration LATER = Duration.ofSeconds(1);
 
@@ -43,8 +48,8 @@
   private final AttemptDriver driver;
   private final AttemptTimes times;
   private final AttemptStarter starter;
-  private final UnitBudget retries = new UnitBudget(10, 40);
-  private final UnitBudget hedges = new UnitBudget(1, 5);
+  private final RepeatBudget retries = new RepeatBudget(RETRY_UNITS, MAX_RETRY_UNITS);
+  private final RepeatBudget hedges = new RepeatBudget(1, 5);
   private final Crossing crossing;
   private final RequestTable requests = new RequestTable();
   private Topology topology;
@@ -331,9 +336,12 @@
     if (upstream != null && failure != Failure.KV_EXPIRED) {
       q.excluded.add(upstream);
     }
+    boolean ran = a.state.compareTo(Attempt.State.TRANSFER) >= 0 && !FailureRules.notRun(failure);
+    q.runs += ran ? 1 : 0;
     KvHandle handle = a.state == Attempt.State.TRANSFER ? a.handle : null;
     boolean reuse =
         handle != null
+            && (!ran || q.mayRunAgain())
             && failure != Failure.KV_EXPIRED
             && handle.expiresNanos() - fx.now() >= MIN_KV_LIFE_NANOS
             && q.attempts() < MAX_ATTEMPTS;
@@ -354,10 +362,16 @@
     q.hedge = null;
     if (q.current != null) {
       arm(q);
-    } else if (reuse && handle != null) {
+    } else if (reuse && handle != null && retries.take()) {
       fx.explain(q.request.id(), "decode_reassigned", "KV cache of " + handle.source());
       starter.launch(q, a.cell, handle);
+    } else if (ran && !q.mayRunAgain()) {
+      fx.explain(q.request.id(), "not_repeatable", "runs=" + q.runs);
+      refuse(q, ErrorCode.UPSTREAM_FAILED, "upstream failed: " + failure, Duration.ZERO);
     } else {
+      if (reuse && handle != null) {
+        fx.emit(new RoutingCommand.ReleaseKv(handle));
+      }
       retry(q, failure);
     }
   }
@@ -449,7 +463,7 @@
       case PREFILL -> checkPrefill(q, a);
       case TRANSFER -> {
         KvHandle h = a.handle;
-        if (h != null && now >= AttemptTimes.transferLimit(a, h)) {
+        if (h != null && q.mayRunAgain() && now >= AttemptTimes.transferLimit(a, h)) {
           failed(q, a, a.decode, Failure.STALLED);
         }
       }
@@ -457,7 +471,12 @@
         switch (DecodeWatch.look(q, a, now)) {
           case FINE -> {}
           case RENEW -> driver.renew(q, a, Stage.DECODE);
-          case STALLED -> failed(q, a, a.decode, Failure.STALLED);
+          case STALLED -> {
+            // Silence is no proof that the engine stopped; only work that may be repeated moves on.
+            if (q.mayRunAgain()) {
+              failed(q, a, a.decode, Failure.STALLED);
+            }
+          }
         }
       }
     }
--- a/core/src/main/java/org/mustardlatch/core/routing/FailureRules.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/FailureRules.java
@@ -14,6 +14,14 @@
     };
   }
 
+  /** Returns whether the upstream certainly did not begin the work that failed. */
+  static boolean notRun(Failure failure) {
+    return switch (failure) {
+      case REFUSED, KV_EXPIRED -> true;
+      case CRASHED, STALLED, DISCONNECTED, TIMED_OUT -> false;
+    };
+  }
+
   /** Returns the outcome that the admitting node is told. */
   static Outcome outcome(Failure failure) {
     return switch (failure) {
--- a/core/src/main/java/org/mustardlatch/core/routing/GenerationRequest.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/GenerationRequest.java
@@ -19,6 +19,9 @@
  * @param fingerprint digest of the content
  * @param firstTokenDeadlineNanos monotonic time by which the first token must arrive
  * @param finalDeadlineNanos monotonic time after which the answer is of no use
+ * @param resumable whether another engine may generate the answer anew, or go on with it, after one
+ *     may have begun to
+ * @param maxRuns most engines that may begin to generate the answer, at least 1
  */
 public record GenerationRequest(
     RequestId id,
@@ -30,9 +33,41 @@
     List<Long> prefixBlocks,
     Fingerprint fingerprint,
     long firstTokenDeadlineNanos,
-    long finalDeadlineNanos) {
+    long finalDeadlineNanos,
+    boolean resumable,
+    int maxRuns) {
   /** Copies the list. */
   public GenerationRequest {
     prefixBlocks = List.copyOf(prefixBlocks);
+    if (maxRuns < 1) {
+      throw new IllegalArgumentException("maxRuns must be at least 1, got " + maxRuns);
+    }
+  }
+
+  /** Creates a request that may be resumed on any number of engines. */
+  public GenerationRequest(
+      RequestId id,
+      WorkspaceId workspace,
+      ModelId model,
+      int promptTokens,
+      int maxOutputTokens,
+      int promptBytes,
+      List<Long> prefixBlocks,
+      Fingerprint fingerprint,
+      long firstTokenDeadlineNanos,
+      long finalDeadlineNanos) {
+    this(
+        id,
+        workspace,
+        model,
+        promptTokens,
+        maxOutputTokens,
+        promptBytes,
+        prefixBlocks,
+        fingerprint,
+        firstTokenDeadlineNanos,
+        finalDeadlineNanos,
+        true,
+        Integer.MAX_VALUE);
   }
 }
--- a/core/src/main/java/org/mustardlatch/core/routing/Placer.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/Placer.java
@@ -15,6 +15,8 @@
   private static final double STRAGGLER_RATIO = 3;
   private static final double SLOW_RATIO = 1.5;
   private static final double PROBE_BUDGET_SHARE = 0.2;
+  // Links between availability zones carry a KV cache at about half the rate of those within one.
+  private static final double CROSS_ZONE_FACTOR = 2;
   private static final long MEDIAN_AGE_NANOS = 50_000_000;
 
   private final Cell cell;
@@ -65,6 +67,9 @@
   boolean mayHaveRoom(long now) {
     for (EngineState d : decodes) {
       if (d.freeSlots() > 0 && d.usable(leaving, now)) {
+        if (d.upstream.role() == UpstreamRole.DECODE_WITH_PROMPT) {
+          return true;
+        }
         for (EngineState p : prefills) {
           if (p.freeSlots() > 0
               && p.backlogNanos(now) <= LOOKAHEAD_NANOS
@@ -84,8 +89,30 @@
     refreshMedians(now);
     if (ask.source() != null) {
       EngineState d = decode(ask, null, suspect, link, handover, now);
-      return d == null ? null : new Placement(null, d, 0, 0, afterPrefill(ask, d, link));
+      return d == null ? null : new Placement(null, d, 0, 0, afterPrefill(ask, null, d, link));
     }
+    Placement split = placeSplit(ask, suspect, link, handover, now);
+    return split != null ? split : placeWhole(ask, suspect, link, handover, now);
+  }
+
+  /**
+   * Returns a decode engine that processes the prompt itself, or null. It takes time from the
+   * streams that the engine has, so it is chosen only when it is sooner than the prefill engines.
+   */
+  private @Nullable Placement placeWhole(
+      Ask ask, boolean suspect, LinkEstimate link, boolean handover, long now) {
+    EngineState d = decode(ask, null, suspect, link, handover, now);
+    if (d == null || d.upstream.role() != UpstreamRole.DECODE_WITH_PROMPT) {
+      return null;
+    }
+    long nominal = d.nominalPrefillNanos(ask.promptTokens(), ask.prefixBlocks());
+    long finish = d.backlogNanos(now) + nominal;
+    boolean prefillSooner = finishAfterWaiting(ask, now) <= finish;
+    return prefillSooner ? null : new Placement(d, d, nominal, finish, finish);
+  }
+
+  private @Nullable Placement placeSplit(
+      Ask ask, boolean suspect, LinkEstimate link, boolean handover, long now) {
     EngineState best = null;
     double bestFinish = Double.MAX_VALUE;
     long bestNominal = 0;
@@ -119,7 +146,7 @@
       return null;
     }
     long finish = best.backlogNanos(now) + (long) (bestNominal * best.prefillRatio(now));
-    long first = finish + (d == best ? 0 : afterPrefill(ask, d, link));
+    long first = finish + (d == best ? 0 : afterPrefill(ask, best, d, link));
     return new Placement(best, d, bestNominal, finish, first);
   }
 
@@ -204,7 +231,7 @@
       EngineState e, Ask ask, @Nullable EngineState prefill, LinkEstimate link, double slowness) {
     double occupancy = (e.heldSlots + e.unaccounted + 1.0) / Math.max(1, e.upstream.slots());
     double share = slowness > SLOW_RATIO ? slowness : 1;
-    double transfer = e == prefill ? 0 : afterPrefill(ask, e, link);
+    double transfer = e == prefill ? 0 : afterPrefill(ask, prefill, e, link);
     return transfer + occupancy * share * cell.model().tokenGapTarget().toNanos();
   }
 
@@ -214,9 +241,12 @@
         e.tokenPace.ratio() / medianToken, Math.min(4, e.transferPace.ratio() / medianTransfer));
   }
 
-  private long afterPrefill(Ask ask, EngineState decode, LinkEstimate link) {
+  private long afterPrefill(
+      Ask ask, @Nullable EngineState prefill, EngineState decode, LinkEstimate link) {
     long bytes = cell.model().kvBytesPerToken() * ask.promptTokens();
-    return (long) (link.transferNanos(bytes) * Math.max(1, decode.transferPace.ratio()));
+    boolean sameZone = prefill == null || prefill.upstream.zone().equals(decode.upstream.zone());
+    double distance = sameZone ? 1 : CROSS_ZONE_FACTOR;
+    return (long) (link.transferNanos(bytes) * distance * Math.max(1, decode.transferPace.ratio()));
   }
 
   private static boolean isStraggler(double ratio, double median) {
@@ -270,6 +300,13 @@
         }
       }
     }
+    if (sum + stragglers == 0) {
+      for (EngineState e : decodes) {
+        if (e.upstream.role() == UpstreamRole.DECODE_WITH_PROMPT && e.usableSoon(leaving, now)) {
+          sum += e.upstream.prefillTokensPerSecond() / 1e9;
+        }
+      }
+    }
     // A pool of one engine is as slow as its engine; it is not a pool without engines.
     return sum > 0 ? sum : stragglers;
   }
@@ -296,6 +333,13 @@
         best = Math.min(best, Math.max(blocked, e.backlogNanos(now) - LOOKAHEAD_NANOS));
       }
     }
+    if (best == Long.MAX_VALUE) {
+      for (EngineState e : decodes) {
+        if (e.upstream.role() == UpstreamRole.DECODE_WITH_PROMPT && e.usableSoon(leaving, now)) {
+          best = Math.min(best, e.backlogNanos(now));
+        }
+      }
+    }
     return best;
   }
 
--- /dev/null
+++ b/core/src/main/java/org/mustardlatch/core/routing/PolicyRunner.java
@@ -0,0 +1,67 @@
+package org.mustardlatch.core.routing;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.mustardlatch.core.time.TimerService;
+import org.mustardlatch.core.time.TimerSubscription;
+
+/**
+ * Runs a routing policy on the thread of a timer service: keeps its timers and passes its other
+ * commands on, all commands of one event before the next event.
+ */
+public final class PolicyRunner {
+  private final TimerService timers;
+  private final RoutingPolicy policy;
+  private final Consumer<RoutingCommand> commands;
+  private final Map<TimerKey, TimerSubscription> armed = new HashMap<>();
+
+  /**
+   * Creates a runner.
+   *
+   * @param timers its thread is the only one that may call {@link #handle}
+   * @param policy the decisions
+   * @param commands receives every command that does not concern a timer; must not call back into
+   *     {@link #handle}
+   */
+  public PolicyRunner(
+      TimerService timers, RoutingPolicy policy, Consumer<RoutingCommand> commands) {
+    this.timers = timers;
+    this.policy = policy;
+    this.commands = commands;
+  }
+
+  /** Passes an event to the policy and carries out what follows from it. */
+  public void handle(RoutingEvent event) {
+    List<RoutingCommand> emitted = new ArrayList<>();
+    policy.handle(event, timers.nanos(), emitted::add);
+    for (RoutingCommand command : emitted) {
+      switch (command) {
+        case RoutingCommand.SetTimer c -> setTimer(c);
+        case RoutingCommand.CancelTimer c -> cancelTimer(c.key());
+        default -> commands.accept(command);
+      }
+    }
+  }
+
+  private void setTimer(RoutingCommand.SetTimer command) {
+    cancelTimer(command.key());
+    Duration delay = Duration.ofNanos(command.atNanos() - timers.nanos());
+    armed.put(command.key(), timers.schedule(delay, () -> fire(command.key())));
+  }
+
+  private void cancelTimer(TimerKey key) {
+    TimerSubscription timer = armed.remove(key);
+    if (timer != null) {
+      timer.cancel();
+    }
+  }
+
+  private void fire(TimerKey key) {
+    armed.remove(key);
+    handle(new RoutingEvent.TimerFired(key));
+  }
+}
--- a/daemon/src/main/java/org/mustardlatch/daemon/Daemon.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/Daemon.java
@@ -28,8 +28,6 @@
 import org.mustardlatch.daemon.caller.CallerApi;
 import org.mustardlatch.daemon.ledger.LedgerService;
 import org.mustardlatch.daemon.ledger.LedgerSettings;
-import org.mustardlatch.daemon.log.EventLog;
-import org.mustardlatch.daemon.log.LogEvent;
 import org.mustardlatch.daemon.node.AppliedManifest;
 import org.mustardlatch.daemon.node.EventLoop;
 import org.mustardlatch.daemon.node.HostListService;
@@ -50,6 +48,8 @@
 import org.mustardlatch.daemon.upstream.Owner;
 import org.mustardlatch.daemon.upstream.UpstreamHosts;
 import org.mustardlatch.daemon.upstream.UpstreamPoller;
+import org.mustardlatch.gateway.log.EventLog;
+import org.mustardlatch.gateway.log.LogEvent;
 
 /** One node: puts the services together, starts and stops them. */
 public final class Daemon {
--- a/daemon/src/main/java/org/mustardlatch/daemon/Main.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/Main.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ServiceLoader;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 import org.mustardlatch.core.error.ErrorCode;
@@ -12,8 +13,12 @@
 import org.mustardlatch.core.error.ParseResult;
 import org.mustardlatch.core.settings.Settings;
 import org.mustardlatch.core.settings.SettingsParser;
-import org.mustardlatch.daemon.log.EventLog;
-import org.mustardlatch.daemon.log.LogEvent;
+import org.mustardlatch.gateway.log.EventLog;
+import org.mustardlatch.gateway.log.LogEvent;
+import org.mustardlatch.gateway.node.GatewayNode;
+import org.mustardlatch.gateway.node.NodeAdapter;
+import org.mustardlatch.gateway.node.NodePorts;
+import org.mustardlatch.gateway.node.Signals;
 
 /** Entry point of the daemon. Exit codes: 0 stopped gracefully, 1 failure, 2 usage or settings. */
 public final class Main {
@@ -61,7 +66,13 @@
   private static int runNode(Path file, PrintStream err) {
     Settings settings;
     try {
-      settings = read(file);
+      String text = Files.readString(file, StandardCharsets.UTF_8);
+      for (NodeAdapter adapter : ServiceLoader.load(NodeAdapter.class)) {
+        if (adapter.recognises(text)) {
+          return runOnPlatform(adapter.ports(file.toString(), text));
+        }
+      }
+      settings = read(file, text);
     } catch (IOException | MustardlatchException e) {
       EventLog.log(LogEvent.SETTINGS_INVALID, file);
       err.println(
@@ -83,8 +94,25 @@
     return EXIT_OK;
   }
 
-  private static Settings read(Path file) throws IOException {
-    String text = Files.readString(file, StandardCharsets.UTF_8);
+  private static int runOnPlatform(NodePorts ports) {
+    long startNanos = System.nanoTime();
+    GatewayNode node = new GatewayNode(ports);
+    Signals.on("TERM", node::drain);
+    Signals.on("INT", node::drain);
+    Signals.on("HUP", () -> EventLog.log(LogEvent.SETTINGS_CHANGED));
+    try {
+      node.start();
+      node.awaitDrained();
+      node.stop();
+    } catch (InterruptedException | RuntimeException e) {
+      EventLog.log(LogEvent.UNEXPECTED_ERROR, "node", e);
+      return EXIT_FAILURE;
+    }
+    EventLog.log(LogEvent.DAEMON_STOPPED, (System.nanoTime() - startNanos) / 1_000_000);
+    return EXIT_OK;
+  }
+
+  private static Settings read(Path file, String text) {
     ParseResult<Settings> result = SettingsParser.parse(file.toString(), text);
     return result.orThrow(ErrorCode.SETTINGS_INVALID);
   }
--- a/daemon/src/main/java/org/mustardlatch/daemon/PeerBinding.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/PeerBinding.java
@@ -17,12 +17,12 @@
 import org.mustardlatch.core.settings.Settings;
 import org.mustardlatch.core.settings.SocketAddress;
 import org.mustardlatch.core.time.TimerService;
-import org.mustardlatch.daemon.log.EventLog;
-import org.mustardlatch.daemon.log.LogEvent;
 import org.mustardlatch.daemon.node.ManifestInForce;
 import org.mustardlatch.daemon.node.Membership;
 import org.mustardlatch.daemon.peer.PeerService;
 import org.mustardlatch.daemon.peer.PeerServiceListener;
+import org.mustardlatch.gateway.log.EventLog;
+import org.mustardlatch.gateway.log.LogEvent;
 import org.mustardlatch.wire.PeerNodeOptions;
 import org.mustardlatch.wire.TlsFiles;
 
--- a/daemon/src/main/java/org/mustardlatch/daemon/caller/CallerApi.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/caller/CallerApi.java
@@ -16,14 +16,14 @@
 import org.mustardlatch.core.model.RequestId;
 import org.mustardlatch.core.settings.SocketAddress;
 import org.mustardlatch.daemon.ledger.LedgerService;
-import org.mustardlatch.daemon.log.EventLog;
-import org.mustardlatch.daemon.log.LogEvent;
 import org.mustardlatch.daemon.node.HttpServer;
 import org.mustardlatch.daemon.node.ManifestInForce;
 import org.mustardlatch.daemon.node.NodeState;
 import org.mustardlatch.daemon.operator.RequestMetrics;
 import org.mustardlatch.daemon.routing.RoutingService;
 import org.mustardlatch.daemon.upstream.ApplicationCalls;
+import org.mustardlatch.gateway.log.EventLog;
+import org.mustardlatch.gateway.log.LogEvent;
 
 /** The HTTP interface for callers. */
 public final class CallerApi {
--- a/daemon/src/main/java/org/mustardlatch/daemon/ledger/StoreCalls.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/ledger/StoreCalls.java
@@ -8,12 +8,12 @@
 import org.mustardlatch.core.ledger.LedgerKey;
 import org.mustardlatch.core.ledger.ShardEvent;
 import org.mustardlatch.core.ledger.ShardWriter;
-import org.mustardlatch.daemon.log.EventLog;
-import org.mustardlatch.daemon.log.LogEvent;
 import org.mustardlatch.daemon.node.EventLoop;
 import org.mustardlatch.daemon.store.ObjectStoreClient;
 import org.mustardlatch.daemon.store.ReadResult;
 import org.mustardlatch.daemon.store.WriteResult;
+import org.mustardlatch.gateway.log.EventLog;
+import org.mustardlatch.gateway.log.LogEvent;
 
 /** Reads and writes shard objects and reports the results as events on the loop's thread. */
 final class StoreCalls {
--- a/daemon/src/main/java/org/mustardlatch/daemon/node/EventLoop.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/node/EventLoop.java
@@ -8,8 +8,8 @@
 import java.util.concurrent.TimeUnit;
 import org.mustardlatch.core.time.TimerService;
 import org.mustardlatch.core.time.TimerSubscription;
-import org.mustardlatch.daemon.log.EventLog;
-import org.mustardlatch.daemon.log.LogEvent;
+import org.mustardlatch.gateway.log.EventLog;
+import org.mustardlatch.gateway.log.LogEvent;
 
 /**
  * The timer service of the daemon. All tasks run on one thread, in the order in which they become
--- a/daemon/src/main/java/org/mustardlatch/daemon/node/ManifestInForce.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/node/ManifestInForce.java
@@ -7,8 +7,8 @@
 import org.mustardlatch.core.error.MustardlatchException;
 import org.mustardlatch.core.manifest.Manifest;
 import org.mustardlatch.core.manifest.ManifestParser;
-import org.mustardlatch.daemon.log.EventLog;
-import org.mustardlatch.daemon.log.LogEvent;
+import org.mustardlatch.gateway.log.EventLog;
+import org.mustardlatch.gateway.log.LogEvent;
 
 /** The manifest in force on this node. Only a higher revision replaces it, as a whole. */
 public final class ManifestInForce {
--- a/daemon/src/main/java/org/mustardlatch/daemon/operator/OperatorApi.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/operator/OperatorApi.java
@@ -11,14 +11,14 @@
 import org.mustardlatch.core.error.MustardlatchException;
 import org.mustardlatch.core.model.RequestId;
 import org.mustardlatch.core.settings.SocketAddress;
-import org.mustardlatch.daemon.log.EventLog;
-import org.mustardlatch.daemon.log.LogEvent;
 import org.mustardlatch.daemon.node.AppliedManifest;
 import org.mustardlatch.daemon.node.HttpServer;
 import org.mustardlatch.daemon.node.ManifestInForce;
 import org.mustardlatch.daemon.node.ManifestPublisher;
 import org.mustardlatch.daemon.node.NodeState;
 import org.mustardlatch.daemon.routing.ExplainLog;
+import org.mustardlatch.gateway.log.EventLog;
+import org.mustardlatch.gateway.log.LogEvent;
 
 /** The HTTP interface for operators. */
 public final class OperatorApi {
--- a/daemon/src/main/java/org/mustardlatch/daemon/routing/RoutingService.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/routing/RoutingService.java
@@ -1,18 +1,14 @@
 package org.mustardlatch.daemon.routing;
 
-import java.time.Duration;
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import org.mustardlatch.core.model.RequestId;
+import org.mustardlatch.core.routing.PolicyRunner;
 import org.mustardlatch.core.routing.RoutingCommand;
 import org.mustardlatch.core.routing.RoutingEvent;
 import org.mustardlatch.core.routing.RoutingPolicy;
-import org.mustardlatch.core.routing.TimerKey;
-import org.mustardlatch.core.time.TimerSubscription;
 import org.mustardlatch.daemon.node.EventLoop;
 
 /**
@@ -21,18 +17,17 @@
  */
 public final class RoutingService {
   private final EventLoop loop;
-  private final RoutingPolicy policy;
+  private final PolicyRunner runner;
   private final EngineCommands engines;
   private final PeerSender peers;
   private final ExplainLog explanations = new ExplainLog();
   private final Map<RequestId, Exchange> exchanges = new ConcurrentHashMap<>();
-  private final Map<TimerKey, TimerSubscription> timers = new HashMap<>();
 
   /** Creates a service; events may be posted at once. */
   public RoutingService(
       EventLoop loop, RoutingPolicy policy, EngineCommands engines, PeerSender peers) {
     this.loop = loop;
-    this.policy = policy;
+    this.runner = new PolicyRunner(loop, policy, this::carryOut);
     this.engines = engines;
     this.peers = peers;
   }
@@ -52,7 +47,7 @@
 
   /** Passes an event to the policy; returns at once. */
   public void post(RoutingEvent event) {
-    loop.execute(() -> handle(event));
+    loop.execute(() -> runner.handle(event));
   }
 
   /** Returns the number of requests in progress. */
@@ -70,12 +65,6 @@
     return explanations;
   }
 
-  private void handle(RoutingEvent event) {
-    List<RoutingCommand> commands = new ArrayList<>();
-    policy.handle(event, loop.nanos(), commands::add);
-    commands.forEach(this::carryOut);
-  }
-
   private void carryOut(RoutingCommand command) {
     switch (command) {
       case RoutingCommand.StartPrefill c ->
@@ -95,8 +84,10 @@
       case RoutingCommand.Refuse c ->
           end(c.request()).ifPresent(e -> e.sink().fail(c.code(), c.detail(), c.retryAfter()));
       case RoutingCommand.Complete c -> end(c.request()).ifPresent(e -> e.sink().complete());
-      case RoutingCommand.SetTimer c -> setTimer(c);
-      case RoutingCommand.CancelTimer c -> cancelTimer(c.key());
+      case RoutingCommand.SetTimer c ->
+          throw new IllegalStateException("the runner keeps timers: " + c);
+      case RoutingCommand.CancelTimer c ->
+          throw new IllegalStateException("the runner keeps timers: " + c);
       case RoutingCommand.Explain c ->
           explanations.add(c.request(), new ExplainLog.Entry(loop.nanos(), c.rule(), c.detail()));
     }
@@ -109,22 +100,4 @@
   private Optional<Exchange> end(RequestId request) {
     return Optional.ofNullable(exchanges.remove(request));
   }
-
-  private void setTimer(RoutingCommand.SetTimer command) {
-    cancelTimer(command.key());
-    Duration delay = Duration.ofNanos(command.atNanos() - loop.nanos());
-    timers.put(command.key(), loop.schedule(delay, () -> fire(command.key())));
-  }
-
-  private void cancelTimer(TimerKey key) {
-    TimerSubscription timer = timers.remove(key);
-    if (timer != null) {
-      timer.cancel();
-    }
-  }
-
-  private void fire(TimerKey key) {
-    timers.remove(key);
-    handle(new RoutingEvent.TimerFired(key));
-  }
 }
--- a/daemon/src/main/java/org/mustardlatch/daemon/upstream/CancelTask.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/upstream/CancelTask.java
@@ -6,8 +6,8 @@
 import okhttp3.Request;
 import okhttp3.Response;
 import org.mustardlatch.core.time.TimerService;
-import org.mustardlatch.daemon.log.EventLog;
-import org.mustardlatch.daemon.log.LogEvent;
+import org.mustardlatch.gateway.log.EventLog;
+import org.mustardlatch.gateway.log.LogEvent;
 
 /**
  * Cancels an attempt on an engine until the engine acknowledges it. 200 and 404 both mean that the
--- a/daemon/src/main/java/org/mustardlatch/daemon/upstream/EngineContext.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/upstream/EngineContext.java
@@ -4,8 +4,8 @@
 import org.mustardlatch.core.model.AttemptId;
 import org.mustardlatch.core.routing.RoutingEvent;
 import org.mustardlatch.core.time.TimerService;
-import org.mustardlatch.daemon.log.EventLog;
-import org.mustardlatch.daemon.log.LogEvent;
+import org.mustardlatch.gateway.log.EventLog;
+import org.mustardlatch.gateway.log.LogEvent;
 
 /**
  * What every engine call needs.
--- a/daemon/src/main/java/org/mustardlatch/daemon/upstream/FailureProbe.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/upstream/FailureProbe.java
@@ -7,8 +7,8 @@
 import okhttp3.Response;
 import org.mustardlatch.core.model.AttemptId;
 import org.mustardlatch.core.routing.Failure;
-import org.mustardlatch.daemon.log.EventLog;
-import org.mustardlatch.daemon.log.LogEvent;
+import org.mustardlatch.gateway.log.EventLog;
+import org.mustardlatch.gateway.log.LogEvent;
 
 /**
  * Finds out what a broken or silent call means. A fresh connection tells a dead process from a dead
--- a/daemon/src/test/java/org/mustardlatch/daemon/log/EventCatalogueTest.java
+++ b/daemon/src/test/java/org/mustardlatch/daemon/log/EventCatalogueTest.java
@@ -1,4 +1,4 @@
-package org.mustardlatch.daemon.log;
+package org.mustardlatch.gateway.log;
 
 import static com.google.common.truth.Truth.assertThat;
 
--- /dev/null
+++ b/gateway/src/main/java/org/mustardlatch/gateway/CallerRequest.java
@@ -0,0 +1,35 @@
+package org.mustardlatch.gateway;
+
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * What a platform's headers say of a request.
+ *
+ * @param id the caller's id of this attempt; null when it sent none
+ * @param deadlineMillis time that the caller will wait, milliseconds; null when it did not say
+ * @param model name of the model; null for a request that is no generation
+ * @param promptTokens length of the prompt, tokens
+ * @param maxOutputTokens most tokens to generate
+ * @param promptParts the parts of the prompt in order
+ */
+public record CallerRequest(
+    @Nullable String id,
+    @Nullable Long deadlineMillis,
+    @Nullable String model,
+    int promptTokens,
+    int maxOutputTokens,
+    List<PromptPart> promptParts) {
+  /** Copies the list. */
+  public CallerRequest {
+    promptParts = List.copyOf(promptParts);
+  }
+
+  /**
+   * A part of a prompt that requests may share.
+   *
+   * @param id digest of its content
+   * @param tokens its length
+   */
+  public record PromptPart(long id, int tokens) {}
+}
--- /dev/null
+++ b/gateway/src/main/java/org/mustardlatch/gateway/PageServer.java
@@ -0,0 +1,52 @@
+package org.mustardlatch.gateway;
+
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Supplier;
+import org.mustardlatch.core.time.TimerService;
+import org.mustardlatch.gateway.config.CallerLimits;
+import org.mustardlatch.gateway.http.CallerExchange;
+import org.mustardlatch.gateway.http.CallerHandler;
+import org.mustardlatch.gateway.http.CallerServer;
+
+/** Serves small pages by path, such as readiness and metrics. */
+final class PageServer implements CallerHandler {
+  /** A page. */
+  record Page(int status, String type, String text) {}
+
+  private final CallerServer server;
+  private final Map<String, Supplier<Page>> pages = new HashMap<>();
+
+  PageServer(EventLoop loop, TimerService timers, InetSocketAddress address) {
+    this.server = new CallerServer(loop, timers, address, this, () -> CallerLimits.DEFAULT);
+  }
+
+  void page(String path, Supplier<Page> content) {
+    pages.put(path, content);
+  }
+
+  void start() {
+    server.start();
+  }
+
+  @Override
+  public void request(CallerExchange exchange) {
+    String path = exchange.head().uri();
+    int query = path.indexOf('?');
+    Supplier<Page> page = pages.get(query < 0 ? path : path.substring(0, query));
+    Page p = page == null ? new Page(404, "text/plain", "not found\n") : page.get();
+    HttpHeaders headers = new DefaultHttpHeaders(false);
+    headers.set("Content-Type", p.type());
+    exchange.answer(
+        HttpResponseStatus.valueOf(p.status()), headers, p.text().getBytes(StandardCharsets.UTF_8));
+  }
+
+  @Override
+  public void left(CallerExchange exchange) {}
+}
--- /dev/null
+++ b/gateway/src/main/java/org/mustardlatch/gateway/config/EngineStage.java
@@ -0,0 +1,7 @@
+package org.mustardlatch.gateway.config;
+
+/** Which half of a generation an engine does. */
+public enum EngineStage {
+  PREFILL,
+  DECODE
+}
--- /dev/null
+++ b/gateway/src/main/java/org/mustardlatch/gateway/config/EngineTraits.java
@@ -0,0 +1,14 @@
+package org.mustardlatch.gateway.config;
+
+import java.time.Duration;
+
+/**
+ * What the configuration says of the engines of a service.
+ *
+ * @param slots requests that an engine works on at a time
+ * @param memoryTokens tokens that fit into the KV memory of an engine
+ * @param kvBytesPerToken size of the KV cache of a token, bytes
+ * @param handleLife how long an exported KV cache is kept
+ */
+public record EngineTraits(
+    int slots, int memoryTokens, long kvBytesPerToken, Duration handleLife) {}
--- /dev/null
+++ b/gateway/src/main/java/org/mustardlatch/gateway/http/CallerConnection.java
@@ -0,0 +1,274 @@
+package org.mustardlatch.gateway.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.io.ByteArrayOutputStream;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Objects;
+import java.util.Queue;
+import org.jspecify.annotations.Nullable;
+import org.mustardlatch.core.time.TimerSubscription;
+
+/** A caller's connection: one request at a time, those that follow wait. */
+final class CallerConnection extends ChannelInboundHandlerAdapter {
+  // Parts of requests that a caller sent ahead; beyond this its connection is not read.
+  private static final int MAX_QUEUED_PARTS = 64;
+
+  private final CallerServer server;
+  private final Channel channel;
+  private final Queue<HttpObject> queued = new ArrayDeque<>();
+  private @Nullable HttpRequest head;
+  private long headNanos;
+  private ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private @Nullable CallerExchange current;
+  private boolean keepAlive;
+  private boolean closing;
+  private long idleSinceNanos;
+  private @Nullable TimerSubscription idleTimer;
+  private Runnable writabilityTask = () -> {};
+
+  CallerConnection(CallerServer server, Channel channel) {
+    this.server = server;
+    this.channel = channel;
+  }
+
+  @Override
+  public void channelActive(ChannelHandlerContext ctx) {
+    server.opened(this);
+    waitIdle();
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext ctx, Object message) {
+    if (closing) {
+      ReferenceCountUtil.release(message);
+      return;
+    }
+    queued.add((HttpObject) message);
+    if (queued.size() > MAX_QUEUED_PARTS) {
+      channel.config().setAutoRead(false);
+    }
+    drainQueue();
+  }
+
+  private void drainQueue() {
+    while (current == null && !closing && !queued.isEmpty()) {
+      HttpObject o = queued.remove();
+      try {
+        take(o);
+      } finally {
+        ReferenceCountUtil.release(o);
+      }
+    }
+    if (queued.isEmpty()) {
+      channel.config().setAutoRead(true);
+    }
+  }
+
+  private void take(HttpObject o) {
+    if (o.decoderResult().isFailure()) {
+      reject(HttpResponseStatus.BAD_REQUEST);
+      return;
+    }
+    if (o instanceof HttpRequest r) {
+      head = r;
+      headNanos = server.now();
+      body = new ByteArrayOutputStream();
+      stopIdleTimer();
+      if (HttpUtil.is100ContinueExpected(r)) {
+        var unused =
+            channel.writeAndFlush(
+                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+      }
+    }
+    if (o instanceof HttpContent c && head != null) {
+      ByteBuf content = c.content();
+      if (body.size() + content.readableBytes() > server.limits().maxBodyBytes()) {
+        reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+        return;
+      }
+      byte[] bytes = new byte[content.readableBytes()];
+      content.readBytes(bytes);
+      body.writeBytes(bytes);
+      if (o instanceof LastHttpContent) {
+        HttpRequest r = Objects.requireNonNull(head);
+        head = null;
+        keepAlive = HttpUtil.isKeepAlive(r);
+        CallerExchange e = new CallerExchange(this, r, body.toByteArray(), headNanos);
+        current = e;
+        server.handler().request(e);
+      }
+    }
+  }
+
+  private void reject(HttpResponseStatus status) {
+    closing = true;
+    var response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status);
+    response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
+    response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+  }
+
+  private boolean mustClose() {
+    return !keepAlive || server.draining();
+  }
+
+  void answer(CallerExchange e, HttpResponseStatus status, HttpHeaders headers, byte[] content) {
+    HttpHeaders h = endToEnd(headers);
+    boolean bodiless =
+        status.code() == 204 || status.code() == 304 || e.head().method().equals(HttpMethod.HEAD);
+    if (status.code() != 204) {
+      String stated = headers.get(HttpHeaderNames.CONTENT_LENGTH);
+      h.set(
+          HttpHeaderNames.CONTENT_LENGTH,
+          bodiless && stated != null ? stated : String.valueOf(content.length));
+    }
+    boolean close = mustClose();
+    if (close) {
+      h.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    }
+    var response =
+        new DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1,
+            status,
+            Unpooled.wrappedBuffer(bodiless ? new byte[0] : content),
+            h,
+            EmptyHttpHeaders.INSTANCE);
+    finish(channel.writeAndFlush(response), close);
+  }
+
+  void begin(CallerExchange e, HttpResponseStatus status, HttpHeaders headers) {
+    HttpHeaders h = endToEnd(headers);
+    h.remove(HttpHeaderNames.CONTENT_LENGTH);
+    h.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+    if (mustClose()) {
+      keepAlive = false;
+      h.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    }
+    HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, status, h);
+    var unused = channel.write(response);
+  }
+
+  void part(ByteBuf part) {
+    var unused = channel.writeAndFlush(new DefaultHttpContent(Unpooled.copiedBuffer(part)));
+  }
+
+  void end() {
+    finish(channel.writeAndFlush(new DefaultLastHttpContent()), !keepAlive);
+  }
+
+  private void finish(io.netty.channel.ChannelFuture sent, boolean close) {
+    current = null;
+    writabilityTask = () -> {};
+    if (close) {
+      closing = true;
+      sent.addListener(ChannelFutureListener.CLOSE);
+    } else {
+      waitIdle();
+      drainQueue();
+    }
+  }
+
+  void abort() {
+    closing = true;
+    current = null;
+    // A reset, since an orderly close could be taken for the end of the answer.
+    channel.config().setOption(ChannelOption.SO_LINGER, 0);
+    var unused = channel.close();
+  }
+
+  boolean writable() {
+    return channel.isWritable();
+  }
+
+  void onWritabilityChange(Runnable task) {
+    writabilityTask = task;
+  }
+
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+    writabilityTask.run();
+  }
+
+  /** Closes the connection if no request is in progress or half received. */
+  void closeIfIdle() {
+    if (current == null && head == null && queued.isEmpty()) {
+      closing = true;
+      var unused = channel.close();
+    }
+  }
+
+  private void waitIdle() {
+    stopIdleTimer();
+    idleSinceNanos = server.now();
+    Duration limit = server.limits().idleTimeout();
+    idleTimer = server.timers().schedule(limit.plus(CallerServer.IDLE_MARGIN), this::idleTooLong);
+  }
+
+  private void idleTooLong() {
+    if (server.now() - idleSinceNanos >= server.limits().idleTimeout().toNanos()) {
+      closeIfIdle();
+    }
+  }
+
+  private void stopIdleTimer() {
+    if (idleTimer != null) {
+      idleTimer.cancel();
+      idleTimer = null;
+    }
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext ctx) {
+    closing = true;
+    stopIdleTimer();
+    server.closed(this);
+    queued.forEach(ReferenceCountUtil::release);
+    queued.clear();
+    CallerExchange e = current;
+    current = null;
+    if (e != null) {
+      e.callerLeft();
+      server.handler().left(e);
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+    // A reset by the caller; channelInactive follows.
+    var unused = channel.close();
+  }
+
+  /** Returns the headers without those that concern only one connection. */
+  private static HttpHeaders endToEnd(HttpHeaders headers) {
+    HttpHeaders h = new DefaultHttpHeaders(false);
+    h.add(headers);
+    HopByHop.strip(h);
+    return h;
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/mustardlatch/gateway/http/CallerExchange.java
@@ -0,0 +1,102 @@
+package org.mustardlatch.gateway.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+
+/** One request of a caller and the way to answer it. */
+public final class CallerExchange {
+  private final CallerConnection connection;
+  private final HttpRequest head;
+  private final byte[] body;
+  private final long receivedNanos;
+  private boolean started;
+  private boolean done;
+
+  CallerExchange(CallerConnection connection, HttpRequest head, byte[] body, long receivedNanos) {
+    this.connection = connection;
+    this.head = head;
+    this.body = body;
+    this.receivedNanos = receivedNanos;
+  }
+
+  /** Returns method, target and headers. */
+  public HttpRequest head() {
+    return head;
+  }
+
+  /** Returns the whole body. */
+  public byte[] body() {
+    return body;
+  }
+
+  /** Returns the monotonic time at which the head of the request had arrived, nanoseconds. */
+  public long receivedNanos() {
+    return receivedNanos;
+  }
+
+  /** Returns whether the head of an answer was sent. */
+  public boolean started() {
+    return started;
+  }
+
+  /** Returns whether it was answered, aborted, or its caller is gone. */
+  public boolean done() {
+    return done;
+  }
+
+  /** Sends a whole answer. */
+  public void answer(HttpResponseStatus status, HttpHeaders headers, byte[] content) {
+    if (!done && !started) {
+      started = true;
+      done = true;
+      connection.answer(this, status, headers, content);
+    }
+  }
+
+  /** Sends the head of an answer whose body follows in parts. */
+  public void begin(HttpResponseStatus status, HttpHeaders headers) {
+    if (!done && !started) {
+      started = true;
+      connection.begin(this, status, headers);
+    }
+  }
+
+  /** Sends a part of the body; the buffer is copied. */
+  public void part(ByteBuf part) {
+    if (!done) {
+      connection.part(part);
+    }
+  }
+
+  /** Ends an answer that was begun. */
+  public void end() {
+    if (!done) {
+      done = true;
+      connection.end();
+    }
+  }
+
+  /** Breaks the answer off so that it can't be taken for complete. */
+  public void abort() {
+    if (!done) {
+      done = true;
+      connection.abort();
+    }
+  }
+
+  /** Returns whether the caller takes more bytes at this moment. */
+  public boolean writable() {
+    return connection.writable();
+  }
+
+  /** Calls a task whenever {@link #writable} changes. */
+  public void onWritabilityChange(Runnable task) {
+    connection.onWritabilityChange(task);
+  }
+
+  void callerLeft() {
+    done = true;
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/mustardlatch/gateway/http/CallerHandler.java
@@ -0,0 +1,13 @@
+package org.mustardlatch.gateway.http;
+
+/** Takes requests of callers. */
+public interface CallerHandler {
+  /**
+   * Takes a whole request. The exchange must get exactly one answer or be aborted, unless its
+   * caller leaves first.
+   */
+  void request(CallerExchange exchange);
+
+  /** The caller of an unanswered request is gone. */
+  void left(CallerExchange exchange);
+}
--- /dev/null
+++ b/gateway/src/main/java/org/mustardlatch/gateway/http/CallerServer.java
@@ -0,0 +1,120 @@
+package org.mustardlatch.gateway.http;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
+import org.mustardlatch.core.time.TimerService;
+import org.mustardlatch.gateway.config.CallerLimits;
+
+/** Listens for callers. All of its work is done on one event loop. */
+public final class CallerServer {
+  /** Idle connections live a little longer than callers are told, so that theirs is the close. */
+  static final Duration IDLE_MARGIN = Duration.ofSeconds(1);
+
+  private static final int BACKLOG = 512;
+
+  private final EventLoop loop;
+  private final TimerService timers;
+  private final InetSocketAddress address;
+  private final CallerHandler handler;
+  private final Supplier<CallerLimits> limits;
+  private final Set<CallerConnection> connections = new HashSet<>();
+  private @Nullable Channel listener;
+  private boolean draining;
+
+  /** Creates a server that does not listen yet. */
+  public CallerServer(
+      EventLoop loop,
+      TimerService timers,
+      InetSocketAddress address,
+      CallerHandler handler,
+      Supplier<CallerLimits> limits) {
+    this.loop = loop;
+    this.timers = timers;
+    this.address = address;
+    this.handler = handler;
+    this.limits = limits;
+  }
+
+  /** Listens; throws {@link java.net.BindException} wrapped by Netty when it can't. */
+  public void start() {
+    ServerBootstrap b =
+        new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class);
+    b.option(ChannelOption.SO_BACKLOG, BACKLOG);
+    b.option(ChannelOption.SO_REUSEADDR, true);
+    ChannelOptions.all().forEach((option, value) -> set(b, option, value));
+    b.childHandler(
+        new ChannelInitializer<Channel>() {
+          @Override
+          protected void initChannel(Channel ch) {
+            ch.pipeline().addLast(new RequestDecoder(limits.get().maxHeaderBytes()));
+            ch.pipeline().addLast(new HttpResponseEncoder());
+            ch.pipeline().addLast(new CallerConnection(CallerServer.this, ch));
+          }
+        });
+    listener = b.bind(address).syncUninterruptibly().channel();
+  }
+
+  @SuppressWarnings("unchecked")
+  private static void set(ServerBootstrap b, ChannelOption<?> option, Object value) {
+    b.childOption((ChannelOption<Object>) option, value);
+  }
+
+  /** Returns the address that it listens on, with the port that was chosen for port 0. */
+  public InetSocketAddress address() {
+    Channel l = listener;
+    return l == null ? address : (InetSocketAddress) l.localAddress();
+  }
+
+  /** Asks callers to leave: every answer from now on closes its connection. */
+  public void drain() {
+    draining = true;
+  }
+
+  /** Accepts no more connections and closes those without a request. */
+  public void closeIdle() {
+    if (listener != null) {
+      var unused = listener.close();
+    }
+    new ArrayList<>(connections).forEach(CallerConnection::closeIfIdle);
+  }
+
+  CallerHandler handler() {
+    return handler;
+  }
+
+  CallerLimits limits() {
+    return limits.get();
+  }
+
+  TimerService timers() {
+    return timers;
+  }
+
+  long now() {
+    return timers.nanos();
+  }
+
+  boolean draining() {
+    return draining;
+  }
+
+  void opened(CallerConnection c) {
+    connections.add(c);
+  }
+
+  void closed(CallerConnection c) {
+    connections.remove(c);
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/mustardlatch/gateway/http/ChannelOptions.java
@@ -0,0 +1,27 @@
+package org.mustardlatch.gateway.http;
+
+import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.nio.NioChannelOption;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import jdk.net.ExtendedSocketOptions;
+
+/** Socket options of all connections. */
+final class ChannelOptions {
+  // A connection can go silent for good while its peer lives; probes find that within about 3 s.
+  private static final int KEEP_ALIVE_IDLE_S = 1;
+  private static final int KEEP_ALIVE_INTERVAL_S = 1;
+  private static final int KEEP_ALIVE_PROBES = 2;
+
+  private ChannelOptions() {}
+
+  static Map<ChannelOption<?>, Object> all() {
+    Map<ChannelOption<?>, Object> options = new LinkedHashMap<>();
+    options.put(ChannelOption.TCP_NODELAY, true);
+    options.put(ChannelOption.SO_KEEPALIVE, true);
+    options.put(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_IDLE_S);
+    options.put(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEP_ALIVE_INTERVAL_S);
+    options.put(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEP_ALIVE_PROBES);
+    return options;
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/mustardlatch/gateway/http/HopByHop.java
@@ -0,0 +1,36 @@
+package org.mustardlatch.gateway.http;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.List;
+
+/** Headers that concern one connection (RFC 9110, section 7.6.1). */
+public final class HopByHop {
+  private static final List<String> NAMES =
+      List.of(
+          "Connection",
+          "Keep-Alive",
+          "Proxy-Connection",
+          "Proxy-Authenticate",
+          "Proxy-Authorization",
+          "TE",
+          "Trailer",
+          "Transfer-Encoding",
+          "Upgrade",
+          "Expect");
+
+  private HopByHop() {}
+
+  /** Removes these headers and those that the Connection header names. */
+  public static void strip(HttpHeaders headers) {
+    for (String value : headers.getAll(HttpHeaderNames.CONNECTION)) {
+      for (String name : value.split(",", -1)) {
+        String n = name.strip();
+        if (!n.isEmpty() && !n.equalsIgnoreCase("close") && !n.equalsIgnoreCase("keep-alive")) {
+          headers.remove(n);
+        }
+      }
+    }
+    NAMES.forEach(headers::remove);
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/mustardlatch/gateway/http/UpstreamConnection.java
@@ -0,0 +1,220 @@
+package org.mustardlatch.gateway.http;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectDecoder;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.time.Duration;
+import org.jspecify.annotations.Nullable;
+
+/** A connection to an upstream, which carries one call at a time. */
+final class UpstreamConnection extends ChannelInboundHandlerAdapter {
+  /** A keep-alive time that an upstream did not state. */
+  private static final Duration DEFAULT_KEEP_ALIVE = Duration.ofSeconds(4);
+
+  private final UpstreamPool pool;
+  private final ResponseDecoder decoder;
+  private final Channel channel;
+  private @Nullable Call call;
+  private @Nullable ChannelFuture written;
+  private boolean skipping;
+  private boolean headSeen;
+  private boolean closeAfter;
+  private boolean broken;
+  private long keepAliveNanos = DEFAULT_KEEP_ALIVE.toNanos();
+  private long idleSinceNanos;
+
+  UpstreamConnection(UpstreamPool pool, Channel channel, ResponseDecoder decoder) {
+    this.pool = pool;
+    this.channel = channel;
+    this.decoder = decoder;
+  }
+
+  /** Returns whether a call may use this idle connection. */
+  boolean usable(boolean repeatable, long now) {
+    long idle = now - idleSinceNanos;
+    // The upstream closes at its own time, and the news of it takes a moment.
+    long limit =
+        repeatable ? keepAliveNanos * 3 / 4 : Math.min(keepAliveNanos / 4, pool.freshNanos());
+    return channel.isActive() && !broken && idle < limit;
+  }
+
+  void send(Call next, CallRequest request) {
+    call = next;
+    headSeen = false;
+    closeAfter = false;
+    HttpHeaders headers = request.head().headers();
+    decoder.expectNoBody(HttpMethod.HEAD.equals(request.head().method()));
+    headers.remove(HttpHeaderNames.TRANSFER_ENCODING);
+    if (request.body().length > 0 || headers.contains(HttpHeaderNames.CONTENT_LENGTH)) {
+      headers.set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
+    }
+    var unused = channel.write(request.head());
+    written =
+        channel.writeAndFlush(new DefaultLastHttpContent(Unpooled.wrappedBuffer(request.body())));
+    next.listener().sent();
+  }
+
+  void setAutoRead(boolean read) {
+    channel.config().setAutoRead(read);
+  }
+
+  void close() {
+    call = null;
+    broken = true;
+    var unused = channel.close();
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext ctx, Object message) {
+    try {
+      if (message instanceof HttpResponse r) {
+        head(r);
+      }
+      if (message instanceof HttpContent c) {
+        content(c);
+      }
+    } finally {
+      ReferenceCountUtil.release(message);
+    }
+  }
+
+  private void head(HttpResponse r) {
+    Call c = call;
+    if (r.decoderResult().isFailure()) {
+      fail(CallFailure.GARBLED, "no HTTP response");
+      return;
+    }
+    if (c == null) {
+      // Bytes that belong to no request.
+      close();
+      return;
+    }
+    boolean interim = r.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+    skipping = interim || !c.request().isAnsweredBy(r);
+    if (skipping) {
+      // The connection has carried an answer of another request; it is not used again.
+      closeAfter |= !interim;
+      return;
+    }
+    headSeen = true;
+    keepAlive(r.headers());
+    if (r.headers().containsValue(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true)
+        || r.protocolVersion().equals(HttpVersion.HTTP_1_0)) {
+      closeAfter = true;
+    }
+    c.listener().head(r);
+  }
+
+  private void keepAlive(HttpHeaders headers) {
+    String value = headers.get("Keep-Alive");
+    if (value == null) {
+      return;
+    }
+    for (String part : value.split(",", -1)) {
+      String p = part.strip();
+      if (p.startsWith("timeout=")) {
+        try {
+          keepAliveNanos = Duration.ofSeconds(Long.parseLong(p.substring(8).strip())).toNanos();
+        } catch (NumberFormatException e) {
+          // An unreadable hint leaves the default, which is short.
+          keepAliveNanos = DEFAULT_KEEP_ALIVE.toNanos();
+        }
+      }
+    }
+  }
+
+  private void content(HttpContent content) {
+    Call c = call;
+    if (c == null || broken) {
+      return;
+    }
+    if (content.decoderResult().isFailure()) {
+      fail(CallFailure.GARBLED, "broken body");
+      return;
+    }
+    if (skipping) {
+      skipping = !(content instanceof LastHttpContent);
+      return;
+    }
+    if (!headSeen) {
+      return;
+    }
+    if (content.content().isReadable()) {
+      c.listener().body(content.content());
+    }
+    if (content instanceof LastHttpContent && call == c) {
+      end(c);
+    }
+  }
+
+  private void end(Call c) {
+    call = null;
+    ChannelFuture w = written;
+    // A request that the upstream has not read to its end must not be mixed with the next one.
+    boolean keep = !closeAfter && w != null && w.isSuccess() && channel.isActive();
+    idleSinceNanos = pool.now();
+    setAutoRead(true);
+    c.finished();
+    if (keep) {
+      pool.idle(this);
+    } else {
+      close();
+    }
+    c.listener().end();
+  }
+
+  private void fail(CallFailure failure, String reason) {
+    Call c = call;
+    close();
+    pool.closed(this);
+    if (c != null) {
+      c.finished();
+      c.listener().failed(failure, reason);
+    }
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext ctx) {
+    fail(CallFailure.BROKEN, "connection closed by upstream");
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+    fail(CallFailure.BROKEN, String.valueOf(cause.getMessage()));
+  }
+
+  /** Decodes responses without pairing them with requests, which stray answers would break. */
+  static final class ResponseDecoder extends io.netty.handler.codec.http.HttpResponseDecoder {
+    private boolean noBody;
+
+    ResponseDecoder() {
+      super(
+          HttpObjectDecoder.DEFAULT_MAX_INITIAL_LINE_LENGTH,
+          4 * HttpObjectDecoder.DEFAULT_MAX_HEADER_SIZE,
+          8 * HttpObjectDecoder.DEFAULT_MAX_CHUNK_SIZE);
+    }
+
+    void expectNoBody(boolean expected) {
+      noBody = expected;
+    }
+
+    @Override
+    protected boolean isContentAlwaysEmpty(io.netty.handler.codec.http.HttpMessage message) {
+      return noBody || super.isContentAlwaysEmpty(message);
+    }
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/mustardlatch/gateway/http/UpstreamPool.java
@@ -0,0 +1,127 @@
+package org.mustardlatch.gateway.http;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import org.mustardlatch.core.time.MonotonicClock;
+
+/** Connections to one start of one upstream. */
+public final class UpstreamPool {
+  private final EventLoop loop;
+  private final MonotonicClock clock;
+  private final InetSocketAddress address;
+  private final Duration connectTimeout;
+  private final Duration fresh;
+  private final Deque<UpstreamConnection> idle = new ArrayDeque<>();
+  private boolean closed;
+
+  /**
+   * Creates a pool without connections.
+   *
+   * @param connectTimeout longest time for a new connection
+   * @param fresh longest idle time of a kept connection that may carry a request that must not be
+   *     repeated
+   */
+  public UpstreamPool(
+      EventLoop loop,
+      MonotonicClock clock,
+      InetSocketAddress address,
+      Duration connectTimeout,
+      Duration fresh) {
+    this.loop = loop;
+    this.clock = clock;
+    this.address = address;
+    this.connectTimeout = connectTimeout;
+    this.fresh = fresh;
+  }
+
+  long now() {
+    return clock.nanos();
+  }
+
+  long freshNanos() {
+    return fresh.toNanos();
+  }
+
+  /** Sends a request; the listener hears of its answer. */
+  public Call send(CallRequest request, CallListener listener) {
+    Call call = new Call(request, listener);
+    long now = clock.nanos();
+    for (UpstreamConnection c = idle.pollLast(); c != null; c = idle.pollLast()) {
+      if (c.usable(request.repeatable(), now)) {
+        start(call, c);
+        return call;
+      }
+      c.close();
+    }
+    connect(call);
+    return call;
+  }
+
+  private static void start(Call call, UpstreamConnection c) {
+    call.on(c);
+    c.send(call, call.request());
+  }
+
+  private void connect(Call call) {
+    Bootstrap b = new Bootstrap().group(loop).channel(NioSocketChannel.class);
+    ChannelOptions.all().forEach((option, value) -> set(b, option, value));
+    b.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectTimeout.toMillis());
+    b.handler(
+        new ChannelInitializer<Channel>() {
+          @Override
+          protected void initChannel(Channel ch) {
+            var decoder = new UpstreamConnection.ResponseDecoder();
+            var connection = new UpstreamConnection(UpstreamPool.this, ch, decoder);
+            ch.pipeline().addLast("decoder", decoder);
+            ch.pipeline().addLast("encoder", new HttpRequestEncoder());
+            ch.pipeline().addLast("connection", connection);
+          }
+        });
+    b.connect(address).addListener((ChannelFuture f) -> connected(f, call));
+  }
+
+  private static void connected(ChannelFuture f, Call call) {
+    if (call.done()) {
+      var unused = f.channel().close();
+    } else if (f.isSuccess()) {
+      start(call, (UpstreamConnection) f.channel().pipeline().get("connection"));
+    } else {
+      call.finished();
+      call.listener().failed(CallFailure.NOT_SENT, String.valueOf(f.cause().getMessage()));
+    }
+  }
+
+  @SuppressWarnings("unchecked")
+  private static void set(Bootstrap b, ChannelOption<?> option, Object value) {
+    b.option((ChannelOption<Object>) option, value);
+  }
+
+  void idle(UpstreamConnection c) {
+    if (closed) {
+      c.close();
+    } else {
+      idle.addLast(c);
+    }
+  }
+
+  void closed(UpstreamConnection c) {
+    idle.remove(c);
+  }
+
+  /** Closes idle connections; those in use close at the end of their call. */
+  public void close() {
+    closed = true;
+    idle.forEach(UpstreamConnection::close);
+    idle.clear();
+  }
+}
--- a/daemon/src/main/java/org/mustardlatch/daemon/log/LogEvent.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/log/LogEvent.java
@@ -1,9 +1,9 @@
-package org.mustardlatch.daemon.log;
+package org.mustardlatch.gateway.log;
 
 /**
  * Numbered events of the log. docs/EVENTS.md gives the meaning of each and what an operator should
  * do. Numbers are never reused. Ranges: 1000 daemon, 2000 routing, 3000 peers, 4000 manifest, 5000
- * object service and ledger, 6000 upstreams, 7000 callers.
+ * object service and ledger, 6000 upstreams, 7000 callers, 8000 the data path of the gateway.
  */
 public enum LogEvent {
   DAEMON_STARTING(1001, Level.INFO, "host {} starts in zone {} with incarnation {}"),
@@ -30,7 +30,30 @@
   LEDGER_WRITE_UNKNOWN(5003, Level.WARN, "result of a write of ledger shard {} is not known: {}"),
   UPSTREAM_ERROR(6001, Level.WARN, "upstream {} answered {} to attempt {}: {}"),
   UPSTREAM_CALL_BROKEN(6002, Level.WARN, "upstream {} broke off attempt {}: {}"),
-  CANCEL_NOT_ACKNOWLEDGED(6003, Level.WARN, "upstream {} did not acknowledge cancel of {}");
+  CANCEL_NOT_ACKNOWLEDGED(6003, Level.WARN, "upstream {} did not acknowledge cancel of {}"),
+  GATEWAY_LISTENING(8001, Level.INFO, "listening callers={} readiness={}"),
+  GATEWAY_READY(8002, Level.INFO, "ready upstreams={}"),
+  STORE_REACHABLE(8010, Level.INFO, "store reachable watch={}"),
+  STORE_UNREACHABLE(8011, Level.WARN, "store unreachable watch={} reason={}"),
+  CONFIGURATION_APPLIED(8012, Level.INFO, "configuration in force version={} routes={}"),
+  CONFIGURATION_OLD(8013, Level.INFO, "configuration ignored version={} in_force={}"),
+  CONFIGURATION_UNREADABLE(8014, Level.WARN, "configuration unreadable object={}"),
+  UPSTREAMS_LISTED(8015, Level.INFO, "upstreams listed known={}"),
+  UPSTREAM_ENTRY(8016, Level.INFO, "upstream={} service={} zone={} leaving={}"),
+  UPSTREAM_ENTRY_UNREADABLE(8017, Level.WARN, "upstream={} entry unreadable"),
+  UPSTREAM_REMOVED(8018, Level.INFO, "upstream={} removed"),
+  REQUEST_SENT(8020, Level.INFO, "request={} name={} sent upstream={} reason={} predicted_ms={}"),
+  STAGE_SENT(8021, Level.INFO, "request={} attempt={} stage={} upstream={} zone={} events={}"),
+  PREFILL_DONE(8022, Level.INFO, "request={} attempt={} prefilled upstream={} tokens={} ms={}"),
+  DECISION(8023, Level.INFO, "request={} name={} rule={} detail={}"),
+  CALL_FAILED(8024, Level.WARN, "request={} name={} upstream={} failure={} reason={}"),
+  REQUEST_ENDED(8025, Level.INFO, "request={} name={} route={} outcome={} status={} detail={}"),
+  REQUEST_REJECTED(8026, Level.INFO, "rejected path={} code={} reason={}"),
+  REQUEST_UNREADABLE(8027, Level.WARN, "unreadable request path={} reason={}"),
+  MEMBERS_CHANGED(8030, Level.INFO, "members live={} unreachable_regions={}"),
+  OBJECT_UNREADABLE(8019, Level.WARN, "object kind={} name={} unreadable reason={}"),
+  SETTINGS_CHANGED(8029, Level.INFO, "reload asked for; settings are read at the next start"),
+  KV_NOT_FREED(8028, Level.WARN, "kv={} upstream={} not freed reason={}");
 
   private final int number;
   private final Level level;
--- a/daemon/src/main/java/org/mustardlatch/daemon/log/package-info.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/log/package-info.java
@@ -1,5 +1,5 @@
 /** Numbered log events; docs/EVENTS.md is their catalogue. */
 @NullMarked
-package org.mustardlatch.daemon.log;
+package org.mustardlatch.gateway.log;
 
 import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/gateway/src/main/java/org/mustardlatch/gateway/node/GatewayNode.java
@@ -0,0 +1,93 @@
+package org.mustardlatch.gateway.node;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.mustardlatch.core.time.TimerService;
+import org.mustardlatch.gateway.Fleet;
+import org.mustardlatch.gateway.Gateway;
+import org.mustardlatch.gateway.GatewaySettings;
+import org.mustardlatch.gateway.NoPeers;
+import org.mustardlatch.gateway.Peers;
+import org.mustardlatch.gateway.config.GatewayConfiguration;
+import org.mustardlatch.gateway.config.Instance;
+import org.mustardlatch.gateway.http.NettyTimerService;
+import org.mustardlatch.gateway.http.UpstreamPool;
+import org.mustardlatch.gateway.store.HttpStoreReader;
+import org.mustardlatch.gateway.store.StoreWatcher;
+
+/** All parts of a node on a platform; everything runs on one event loop. */
+public final class GatewayNode {
+  private static final Duration STORE_CONNECT_TIMEOUT = Duration.ofSeconds(1);
+
+  private final MultiThreadIoEventLoopGroup group;
+  private final EventLoop loop;
+  private final Peers peers;
+  private final Gateway gateway;
+  private final StoreWatcher<GatewayConfiguration> configurations;
+  private final StoreWatcher<Instance> instances;
+
+  /** Creates a node that does not run yet. */
+  public GatewayNode(NodePorts ports) {
+    group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    loop = group.next();
+    TimerService timers = new NettyTimerService(loop);
+    RandomGenerator random =
+        new SplittableRandom(System.nanoTime() ^ ports.settings().host().hashCode());
+    Fleet fleet = new Fleet(loop, timers);
+    GatewaySettings settings = ports.settings();
+    // Processes of a host start one after another, so the time of day tells them apart.
+    long incarnation = System.currentTimeMillis();
+    InetSocketAddress peerAddress = settings.peerAddress();
+    peers =
+        peerAddress == null
+            ? new NoPeers(settings)
+            : new PeerLink(settings, peerAddress, incarnation, timers, random, group, loop);
+    gateway =
+        new Gateway(settings, loop, timers, fleet, ports.protocol(), peers, incarnation, random);
+    var pool = new UpstreamPool(loop, timers, ports.store(), STORE_CONNECT_TIMEOUT, Duration.ZERO);
+    configurations =
+        new StoreWatcher<>(
+            timers,
+            new HttpStoreReader<>(timers, pool, ports.configuration()),
+            fleet.configurationListener(),
+            random);
+    instances =
+        new StoreWatcher<>(
+            timers,
+            new HttpStoreReader<>(timers, pool, ports.instances()),
+            fleet.instanceListener(),
+            random);
+  }
+
+  /** Listens and begins to read the store. */
+  public void start() {
+    gateway.start();
+    loop.execute(
+        () -> {
+          instances.start();
+          configurations.start();
+        });
+  }
+
+  /** Stops taking new work; returns at once. */
+  public void drain() {
+    loop.execute(gateway::drain);
+  }
+
+  /** Waits until a drain has ended. */
+  public void awaitDrained() throws InterruptedException {
+    gateway.awaitDrained();
+  }
+
+  /** Ends all connections. */
+  public void stop() {
+    peers.stop();
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/mustardlatch/gateway/node/PeerLink.java
@@ -0,0 +1,145 @@
+package org.mustardlatch.gateway.node;
+
+import io.netty.channel.EventLoopGroup;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.mustardlatch.core.membership.MemberList;
+import org.mustardlatch.core.model.HostId;
+import org.mustardlatch.core.peer.AdmissionMessage;
+import org.mustardlatch.core.peer.EvidenceMessage;
+import org.mustardlatch.core.peer.PeerMessage;
+import org.mustardlatch.core.routing.Member;
+import org.mustardlatch.core.routing.RoutingEvent;
+import org.mustardlatch.core.time.TimerService;
+import org.mustardlatch.gateway.GatewaySettings;
+import org.mustardlatch.gateway.Peers;
+import org.mustardlatch.gateway.log.EventLog;
+import org.mustardlatch.gateway.log.LogEvent;
+import org.mustardlatch.wire.PeerNode;
+import org.mustardlatch.wire.PeerNodeListener;
+import org.mustardlatch.wire.PeerNodeOptions;
+
+/** The peers of a node over the fleet's own protocol. */
+final class PeerLink implements Peers, PeerNodeListener {
+  private final PeerNode node;
+  private final Executor loop;
+  private Consumer<RoutingEvent> events = e -> {};
+
+  /**
+   * Creates a link that does nothing before {@link #start}.
+   *
+   * @param bind where this node listens for its peers
+   * @param incarnation greater than those of earlier processes of this host
+   */
+  PeerLink(
+      GatewaySettings settings,
+      InetSocketAddress bind,
+      long incarnation,
+      TimerService timers,
+      RandomGenerator random,
+      EventLoopGroup group,
+      Executor loop) {
+    this.loop = loop;
+    this.node =
+        new PeerNode(
+            new PeerNodeOptions(
+                settings.host(),
+                settings.region(),
+                settings.zone(),
+                incarnation,
+                bind,
+                null,
+                settings.peerSeeds(),
+                null,
+                group,
+                // The platform hands out no certificates and closes its network to others.
+                true),
+            timers,
+            random,
+            this);
+  }
+
+  @Override
+  public void start(Consumer<RoutingEvent> receiver) {
+    events = receiver;
+    EventLog.log(LogEvent.PEERS_LISTENING, node.start(), node.members().members().size());
+  }
+
+  @Override
+  public void send(HostId to, PeerMessage message) {
+    node.send(to, message);
+  }
+
+  @Override
+  public List<Member> members() {
+    return node.members().members();
+  }
+
+  @Override
+  public void leave() {
+    node.leave();
+  }
+
+  @Override
+  public void stop() {
+    node.stop();
+  }
+
+  private void post(RoutingEvent event) {
+    loop.execute(() -> events.accept(event));
+  }
+
+  @Override
+  public void membersChanged(MemberList list) {
+    EventLog.log(
+        LogEvent.MEMBERS_CHANGED,
+        list.members().stream().map(m -> m.host().value()).sorted().toList(),
+        list.unreachableRegions());
+    post(new RoutingEvent.MembersChanged(list.members()));
+  }
+
+  @Override
+  public void suspected(HostId host) {
+    EventLog.log(LogEvent.NODE_SUSPECTED, host);
+  }
+
+  @Override
+  public void fenced(long incarnation, long pausedNanos) {
+    EventLog.log(LogEvent.NODE_FENCED, pausedNanos / 1_000_000, incarnation);
+    post(new RoutingEvent.MembersChanged(members()));
+  }
+
+  @Override
+  public boolean apply(long revision, String text) {
+    // The platform's store holds the configuration; nodes do not pass one on.
+    return false;
+  }
+
+  @Override
+  public void accepted(long revision) {}
+
+  @Override
+  public void watchChanged(boolean watch) {}
+
+  @Override
+  public void ready(long revision) {}
+
+  @Override
+  public void received(HostId from, long incarnation, PeerMessage message) {
+    switch (message) {
+      case AdmissionMessage m -> post(new RoutingEvent.PeerReceived(from, m));
+      case EvidenceMessage m -> post(new RoutingEvent.PeerReceived(from, m));
+      default -> {
+        // The node itself takes the rest.
+      }
+    }
+  }
+
+  @Override
+  public void unexpected(Throwable error) {
+    EventLog.log(LogEvent.UNEXPECTED_ERROR, "peers", error);
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/mustardlatch/gateway/store/HttpStoreReader.java
@@ -0,0 +1,106 @@
+package org.mustardlatch.gateway.store;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import java.io.ByteArrayOutputStream;
+import java.time.Duration;
+import java.util.function.BiFunction;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+import org.mustardlatch.core.time.TimerService;
+import org.mustardlatch.core.time.TimerSubscription;
+import org.mustardlatch.gateway.http.Call;
+import org.mustardlatch.gateway.http.CallFailure;
+import org.mustardlatch.gateway.http.CallListener;
+import org.mustardlatch.gateway.http.CallRequest;
+import org.mustardlatch.gateway.http.UpstreamPool;
+
+/** Reads objects of one kind over HTTP. */
+public final class HttpStoreReader<T> implements StoreReader<T> {
+  // A store that answers in milliseconds is taken for unreachable after this.
+  private static final Duration TIMEOUT = Duration.ofSeconds(2);
+
+  private final TimerService timers;
+  private final UpstreamPool pool;
+  private final StoreCodec<T> codec;
+
+  /** Creates a reader; all readers of a node share the connections of one pool. */
+  public HttpStoreReader(TimerService timers, UpstreamPool pool, StoreCodec<T> codec) {
+    this.timers = timers;
+    this.pool = pool;
+    this.codec = codec;
+  }
+
+  @Override
+  public void list(@Nullable String after, Consumer<StoreAnswer<T>> answer) {
+    call(codec.list(after), TIMEOUT, codec::readList, answer);
+  }
+
+  @Override
+  public void watch(long revision, Duration wait, Consumer<StoreAnswer<T>> answer) {
+    call(codec.watch(revision, wait), wait.plus(TIMEOUT), codec::readWatch, answer);
+  }
+
+  private void call(
+      HttpRequest request,
+      Duration timeout,
+      BiFunction<Integer, byte[], StoreAnswer<T>> decoder,
+      Consumer<StoreAnswer<T>> answer) {
+    var listener = new Reading(decoder, answer);
+    listener.timer = timers.schedule(timeout, listener::timedOut);
+    listener.call = pool.send(new CallRequest(request, new byte[0], true, r -> true), listener);
+  }
+
+  /** Collects one answer. */
+  private final class Reading implements CallListener {
+    private final BiFunction<Integer, byte[], StoreAnswer<T>> decoder;
+    private final Consumer<StoreAnswer<T>> answer;
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private @Nullable Call call;
+    private @Nullable TimerSubscription timer;
+    private int status;
+
+    Reading(BiFunction<Integer, byte[], StoreAnswer<T>> decoder, Consumer<StoreAnswer<T>> answer) {
+      this.decoder = decoder;
+      this.answer = answer;
+    }
+
+    @Override
+    public void head(HttpResponse head) {
+      status = head.status().code();
+    }
+
+    @Override
+    public void body(ByteBuf part) {
+      byte[] bytes = new byte[part.readableBytes()];
+      part.readBytes(bytes);
+      body.writeBytes(bytes);
+    }
+
+    @Override
+    public void end() {
+      finish(decoder.apply(status, body.toByteArray()));
+    }
+
+    @Override
+    public void failed(CallFailure failure, String reason) {
+      finish(new StoreAnswer.Unavailable<>(failure + " " + reason));
+    }
+
+    void timedOut() {
+      if (call != null) {
+        call.cancel();
+      }
+      finish(new StoreAnswer.Unavailable<>("no answer in time"));
+    }
+
+    private void finish(StoreAnswer<T> result) {
+      if (timer != null) {
+        timer.cancel();
+      }
+      // The next call must not start inside of the connection's handling of this one.
+      timers.schedule(Duration.ZERO, () -> answer.accept(result));
+    }
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/mustardlatch/gateway/store/package-info.java
@@ -0,0 +1,5 @@
+/** Watching objects of the platform's store. */
+@NullMarked
+package org.mustardlatch.gateway.store;
+
+import org.jspecify.annotations.NullMarked;
--- a/wire/src/main/java/org/mustardlatch/wire/PeerNode.java
+++ b/wire/src/main/java/org/mustardlatch/wire/PeerNode.java
@@ -76,7 +76,12 @@
     this.transport =
         new PeerTransport(
             new PeerTransportOptions(
-                options.host(), this::incarnation, options.bind(), options.tls(), options.group()),
+                options.host(),
+                this::incarnation,
+                options.bind(),
+                options.tls(),
+                options.group(),
+                options.privateNetwork()),
             this::receive,
             listener::unexpected);
   }
