Plan engine memory by the expected length of answers, list the events of the data path

Cause: admission reserved memory for the longest allowed answer (2,040 tokens) in pieces of 1,000 tokens, so at the crest engines were free while requests queued. Now the memory of an answer is planned by its hint, drawn towards the usual one, in the blocks that engines use. Ruled out: 0.6 of the bare hint; engines ran full after prefill (361,000 tokens read for nothing).

--- a/core/src/main/java/org/mustardlatch/core/manifest/Model.java
+++ b/core/src/main/java/org/mustardlatch/core/manifest/Model.java
@@ -11,10 +11,26 @@
  * @param tokenGapTarget time between tokens
  * @param maxPromptTokens longest prompt that is accepted, tokens
  * @param kvBytesPerToken size of the KV cache of one prompt token, bytes
+ * @param memoryPieceTokens tokens of the pieces in which engines allocate KV memory
  */
 public record Model(
     ModelId id,
     Duration firstTokenTarget,
     Duration tokenGapTarget,
     int maxPromptTokens,
-    long kvBytesPerToken) {}
+    long kvBytesPerToken,
+    int memoryPieceTokens) {
+  /** Tokens of a piece of KV memory where nothing else is stated. */
+  public static final int USUAL_PIECE_TOKENS = 1000;
+
+  /** Creates a model whose engines allocate KV memory in pieces of the usual size. */
+  public Model(
+      ModelId id,
+      Duration firstTokenTarget,
+      Duration tokenGapTarget,
+      int maxPromptTokens,
+      long kvBytesPerToken) {
+    this(
+        id, firstTokenTarget, tokenGapTarget, maxPromptTokens, kvBytesPerToken, USUAL_PIECE_TOKENS);
+  }
+}
--- a/core/src/main/java/org/mustardlatch/core/manifest/Upstream.java
+++ b/core/src/main/java/org/mustardlatch/core/manifest/Upstream.java
@@ -16,8 +16,8 @@
  * @param url base URL
  * @param slots requests that it holds at a time
  * @param prefillTokensPerSecond prompt tokens per second of a prefill engine; 0 when it has none
- * @param memoryPieces KV memory of an engine in pieces of 1,000 tokens; 0 for an application
- *     service
+ * @param memoryPieces KV memory of an engine in pieces of the size that the model states; 0 for an
+ *     application service
  * @param checksFencing whether it refuses orders with an old fencing token
  * @param leaving whether it must get no new work
  */
--- a/core/src/main/java/org/mustardlatch/core/routing/Ask.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/Ask.java
@@ -16,6 +16,7 @@
  * @param from the entry node
  * @param source engine that already holds the KV cache; null when a prefill is needed
  * @param firstTokenDeadlineNanos monotonic time of this node
+ * @param maxOutputTokens tokens of the answer to plan memory for
  * @param budgetNanos time from the arrival of the ask to the first-token deadline
  */
 record Ask(
@@ -30,7 +31,6 @@
     long firstTokenDeadlineNanos,
     long budgetNanos,
     List<UpstreamId> excluded) {
-  private static final int TOKENS_PER_PIECE = 1000;
 
   static Ask of(Reserve r, HostId from, long now) {
     return new Ask(
@@ -62,13 +62,13 @@
         r.excluded());
   }
 
-  /** Returns the KV memory that the prompt takes, in pieces of 1,000 tokens. */
-  int prefillPieces() {
-    return Math.ceilDiv(promptTokens, TOKENS_PER_PIECE);
+  /** Returns the KV memory that the prompt takes, in pieces of a number of tokens. */
+  int prefillPieces(int pieceTokens) {
+    return Math.ceilDiv(promptTokens, pieceTokens);
   }
 
-  /** Returns the KV memory that prompt and answer take at most, in pieces of 1,000 tokens. */
-  int decodePieces() {
-    return Math.ceilDiv(promptTokens + maxOutputTokens, TOKENS_PER_PIECE);
+  /** Returns the KV memory to plan for prompt and answer, in pieces of a number of tokens. */
+  int decodePieces(int pieceTokens) {
+    return Math.ceilDiv(promptTokens + maxOutputTokens, pieceTokens);
   }
 }
--- a/core/src/main/java/org/mustardlatch/core/routing/CellAdmission.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/CellAdmission.java
@@ -256,7 +256,7 @@
     for (Upstream u : next.engines()) {
       EngineState e = before.get(u.id());
       if (e == null) {
-        e = new EngineState(u);
+        e = new EngineState(u, next.model().memoryPieceTokens());
       } else {
         e.upstream = u;
       }
@@ -369,8 +369,8 @@
             ask.attempt(),
             ask.from(),
             ask.fingerprint(),
-            ask.prefillPieces(),
-            ask.decodePieces(),
+            ask.prefillPieces(cell.model().memoryPieceTokens()),
+            ask.decodePieces(cell.model().memoryPieceTokens()),
             bytes);
     r.suspect = suspect;
     r.nominalNanos = p.nominalNanos();
--- a/core/src/main/java/org/mustardlatch/core/routing/EngineState.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/EngineState.java
@@ -16,7 +16,7 @@
   // A prefill past its predicted end is expected to take this share of its age on top.
   private static final double OVERDUE_SHARE = 0.3;
   private static final long SOON_NANOS = 300_000_000;
-  private static final int TOKENS_PER_PIECE = 1000;
+
   private static final int MIN_PREFIX_BLOCKS = 64;
 
   /** The engine as the manifest in force states it. */
@@ -51,10 +51,10 @@
 
   private long prefillServingSinceNanos;
 
-  EngineState(Upstream upstream) {
+  EngineState(Upstream upstream, int pieceTokens) {
     this.upstream = upstream;
     // Cached prefixes lie in the KV memory of the engine, so they can't be more than it holds.
-    int blocks = upstream.memoryPieces() * TOKENS_PER_PIECE / PrefixIndex.BLOCK_TOKENS;
+    int blocks = upstream.memoryPieces() * pieceTokens / PrefixIndex.BLOCK_TOKENS;
     this.prefixes = new PrefixIndex(Math.max(MIN_PREFIX_BLOCKS, blocks));
   }
 
--- a/core/src/main/java/org/mustardlatch/core/routing/EntryRequest.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/EntryRequest.java
@@ -74,6 +74,11 @@
     return request.resumable() && runs < request.maxRuns();
   }
 
+  /** Returns the tokens of the answer that memory is still planned for. */
+  int plannedTokens() {
+    return Math.max(0, request.plannedOutputTokens() - tokensSent);
+  }
+
   int remainingTokens() {
     return Math.max(0, request.maxOutputTokens() - tokensSent);
   }
--- a/core/src/main/java/org/mustardlatch/core/routing/GenerationRequest.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/GenerationRequest.java
@@ -22,6 +22,8 @@
  * @param resumable whether another engine may generate the answer anew, or go on with it, after one
  *     may have begun to
  * @param maxRuns most engines that may begin to generate the answer, at least 1
+ * @param plannedOutputTokens tokens of the answer that KV memory is planned for; engines preempt
+ *     when answers become longer
  */
 public record GenerationRequest(
     RequestId id,
@@ -35,7 +37,8 @@
     long firstTokenDeadlineNanos,
     long finalDeadlineNanos,
     boolean resumable,
-    int maxRuns) {
+    int maxRuns,
+    int plannedOutputTokens) {
   /** Copies the list. */
   public GenerationRequest {
     prefixBlocks = List.copyOf(prefixBlocks);
@@ -68,6 +71,7 @@
         firstTokenDeadlineNanos,
         finalDeadlineNanos,
         true,
-        Integer.MAX_VALUE);
+        Integer.MAX_VALUE,
+        maxOutputTokens);
   }
 }
--- a/core/src/main/java/org/mustardlatch/core/routing/Placer.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/Placer.java
@@ -20,6 +20,7 @@
   private static final long MEDIAN_AGE_NANOS = 50_000_000;
 
   private final Cell cell;
+  private final int pieceTokens;
   private final LeavingUpstreams leaving;
   private final List<EngineState> prefills = new ArrayList<>();
   private final List<EngineState> decodes = new ArrayList<>();
@@ -44,6 +45,7 @@
 
   Placer(Cell cell, Iterable<EngineState> engines, LeavingUpstreams leaving) {
     this.cell = cell;
+    this.pieceTokens = cell.model().memoryPieceTokens();
     this.leaving = leaving;
     for (EngineState e : engines) {
       if (e.upstream.role().prefills()) {
@@ -167,7 +169,9 @@
     if (!e.usable(leaving, now) || excluded(e, ask, prefills, now)) {
       return false;
     }
-    if (e.freeSlots() == 0 || !e.hasMemory(ask.prefillPieces()) || (suspect && e.suspects > 0)) {
+    if (e.freeSlots() == 0
+        || !e.hasMemory(ask.prefillPieces(pieceTokens))
+        || (suspect && e.suspects > 0)) {
       return false;
     }
     return e.backlogNanos(now) <= LOOKAHEAD_NANOS;
@@ -209,7 +213,7 @@
         continue;
       }
       int free = handover ? e.freeSlotsInHandover() : e.freeSlots();
-      if (free <= 0 || !e.hasMemory(ask.decodePieces()) || (suspect && e.suspects > 0)) {
+      if (free <= 0 || !e.hasMemory(ask.decodePieces(pieceTokens)) || (suspect && e.suspects > 0)) {
         continue;
       }
       double slowness = slowness(e);
--- a/gateway/src/main/java/org/mustardlatch/gateway/CallerRequest.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/CallerRequest.java
@@ -11,6 +11,7 @@
  * @param model name of the model; null for a request that is no generation
  * @param promptTokens length of the prompt, tokens
  * @param maxOutputTokens most tokens to generate
+ * @param lengthHint tokens that the caller expects to be generated; 0 when it did not say
  * @param promptParts the parts of the prompt in order
  */
 public record CallerRequest(
@@ -19,6 +20,7 @@
     @Nullable String model,
     int promptTokens,
     int maxOutputTokens,
+    int lengthHint,
     List<PromptPart> promptParts) {
   /** Copies the list. */
   public CallerRequest {
--- a/gateway/src/main/java/org/mustardlatch/gateway/FleetManifest.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/FleetManifest.java
@@ -35,7 +35,8 @@
 
 /** The fleet in the form that the routing decisions take: a manifest made of what is registered. */
 final class FleetManifest {
-  private static final int TOKENS_PER_PIECE = 1000;
+  // Engines allocate KV memory in blocks of a few tokens.
+  private static final int TOKENS_PER_PIECE = 16;
   private static final int BLOCK_TOKENS = 256;
 
   // Where the configuration does not state how fast engines are, the pace is learned from here.
@@ -106,7 +107,8 @@
         first,
         USUAL_TOKEN_GAP,
         engine.memoryTokens(),
-        engine.kvBytesPerToken());
+        engine.kvBytesPerToken(),
+        TOKENS_PER_PIECE);
   }
 
   private static Upstream upstream(Instance i, EngineTraits engine) {
--- a/gateway/src/main/java/org/mustardlatch/gateway/GenerationPath.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/GenerationPath.java
@@ -52,6 +52,10 @@
   // The engine's clock for an exported KV cache starts before its answer has arrived here.
   private static final Duration HANDLE_MARGIN = Duration.ofMillis(50);
   private static final Duration OWN_PROMPT_LIFE = Duration.ofDays(1);
+  private static final double MEMORY_SHARE_OF_ANSWER = 0.8;
+  // Callers' hints are often far off, so they are drawn towards the usual length.
+  private static final double HINT_WEIGHT = 0.66;
+  private static final double NEWEST_WEIGHT = 0.05;
   private static final int SUCCESS = 200;
   private static final int FIRST_FAILURE = 300;
 
@@ -67,6 +71,7 @@
   private final Map<RequestId, Stream> streams = new HashMap<>();
   private final Map<CallerExchange, Stream> byCaller = new HashMap<>();
   private final Map<AttemptId, Call> calls = new HashMap<>();
+  private double usualHint;
   private long manifestRevision;
 
   GenerationPath(
@@ -127,13 +132,38 @@
             Math.min(exchange.endNanos(), firstToken),
             exchange.endNanos(),
             exchange.route().repeatable(),
-            exchange.route().maxAttempts());
+            exchange.route().maxAttempts(),
+            plannedOutput(r));
+    EventLog.log(
+        LogEvent.GENERATION_ARRIVED,
+        exchange.callerId(),
+        exchange.name(),
+        exchange.route().name(),
+        r.promptTokens(),
+        r.maxOutputTokens(),
+        r.lengthHint(),
+        late,
+        exchange.waitedNanos() / 1_000_000);
     Stream s = new Stream(exchange);
     streams.put(request.id(), s);
     byCaller.put(exchange.caller(), s);
     runner.handle(new RoutingEvent.RequestArrived(request));
   }
 
+  /**
+   * Returns the tokens of an answer to plan memory for. Answers grow while they are made, so on
+   * average half of each is in memory.
+   */
+  private int plannedOutput(CallerRequest r) {
+    if (r.lengthHint() <= 0) {
+      return Math.max(1, r.maxOutputTokens());
+    }
+    double usual = usualHint == 0 ? r.lengthHint() : usualHint;
+    usualHint = usual + NEWEST_WEIGHT * (r.lengthHint() - usual);
+    double expected = HINT_WEIGHT * r.lengthHint() + (1 - HINT_WEIGHT) * usual;
+    return (int) Math.clamp(expected * MEMORY_SHARE_OF_ANSWER, 1, Math.max(1, r.maxOutputTokens()));
+  }
+
   /** Returns whether the exchange was one of this path. */
   boolean left(CallerExchange caller) {
     Stream s = byCaller.get(caller);
--- a/gateway/src/main/java/org/mustardlatch/gateway/log/LogEvent.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/log/LogEvent.java
@@ -51,6 +51,10 @@
   REQUEST_REJECTED(8026, Level.INFO, "rejected path={} code={} reason={}"),
   REQUEST_UNREADABLE(8027, Level.WARN, "unreadable request path={} reason={}"),
   MEMBERS_CHANGED(8030, Level.INFO, "members live={} unreachable_regions={}"),
+  GENERATION_ARRIVED(
+      8031,
+      Level.INFO,
+      "request={} name={} route={} prompt_tokens={} max_output={} hint={} late={} waited_ms={}"),
   OBJECT_UNREADABLE(8019, Level.WARN, "object kind={} name={} unreadable reason={}"),
   SETTINGS_CHANGED(8029, Level.INFO, "reload asked for; settings are read at the next start"),
   KV_NOT_FREED(8028, Level.WARN, "kv={} upstream={} not freed reason={}");
