Reserve room at the decode engine before a prefill is spent

Engines that offer it now reserve slot and memory first; a refusal costs a millisecond and no retry budget.

--- a/core/src/main/java/org/mustardlatch/core/manifest/Model.java
+++ b/core/src/main/java/org/mustardlatch/core/manifest/Model.java
@@ -12,6 +12,7 @@
  * @param maxPromptTokens longest prompt that is accepted, tokens
  * @param kvBytesPerToken size of the KV cache of one prompt token, bytes
  * @param memoryPieceTokens tokens of the pieces in which engines allocate KV memory
+ * @param reservable whether engines reserve a slot and memory ahead of a request
  */
 public record Model(
     ModelId id,
@@ -19,7 +20,8 @@
     Duration tokenGapTarget,
     int maxPromptTokens,
     long kvBytesPerToken,
-    int memoryPieceTokens) {
+    int memoryPieceTokens,
+    boolean reservable) {
   /** Tokens of a piece of KV memory where nothing else is stated. */
   public static final int USUAL_PIECE_TOKENS = 1000;
 
@@ -31,6 +33,12 @@
       int maxPromptTokens,
       long kvBytesPerToken) {
     this(
-        id, firstTokenTarget, tokenGapTarget, maxPromptTokens, kvBytesPerToken, USUAL_PIECE_TOKENS);
+        id,
+        firstTokenTarget,
+        tokenGapTarget,
+        maxPromptTokens,
+        kvBytesPerToken,
+        USUAL_PIECE_TOKENS,
+        false);
   }
 }
--- a/core/src/main/java/org/mustardlatch/core/routing/Attempt.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/Attempt.java
@@ -13,6 +13,8 @@
   enum State {
     ASKING,
     QUEUED,
+    /** The decode engine is asked to reserve a slot and memory. */
+    RESERVING,
     PREFILL,
     TRANSFER,
     DECODE
@@ -70,6 +72,6 @@
   }
 
   boolean granted() {
-    return state.compareTo(State.PREFILL) >= 0;
+    return state.compareTo(State.RESERVING) >= 0;
   }
 }
--- a/core/src/main/java/org/mustardlatch/core/routing/AttemptDriver.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/AttemptDriver.java
@@ -122,13 +122,28 @@
     }
     KvHandle kv = a.inherited;
     if (kv == null) {
-      a.enter(Attempt.State.PREFILL, now);
-      fx.emit(new RoutingCommand.StartPrefill(a.id, grant.prefill()));
+      if (a.cell.model().reservable()) {
+        a.enter(Attempt.State.RESERVING, now);
+        int tokens = q.promptTokens() + q.plannedTokens() / 2;
+        fx.emit(new RoutingCommand.ReserveEngine(a.id, grant.decode(), tokens));
+      } else {
+        startPrefill(a);
+      }
     } else {
       startDecode(q, a, kv);
     }
   }
 
+  /** Starts the prefill of an attempt whose decode engine has room for it. */
+  void startPrefill(Attempt a) {
+    UpstreamId prefill = a.prefill;
+    if (prefill == null) {
+      throw new IllegalStateException("attempt " + a.id + " has no prefill engine");
+    }
+    a.enter(Attempt.State.PREFILL, fx.now());
+    fx.emit(new RoutingCommand.StartPrefill(a.id, prefill));
+  }
+
   /** Starts the decode of an attempt whose KV cache is ready. */
   void startDecode(EntryRequest q, Attempt a, KvHandle handle) {
     UpstreamId decode = a.decode;
@@ -161,6 +176,7 @@
           fx.emit(new RoutingCommand.ReleaseKv(a.inherited));
         }
       }
+      case RESERVING -> cancelOn(a, a.decode);
       case PREFILL -> cancelOn(a, a.prefill);
       case TRANSFER -> {
         cancelOn(a, a.decode);
--- a/core/src/main/java/org/mustardlatch/core/routing/AttemptTimes.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/AttemptTimes.java
@@ -6,6 +6,8 @@
 final class AttemptTimes {
   // An admitting node of this region answers within a millisecond; one that does not is gone.
   private static final long ASK_TIMEOUT_NANOS = 50_000_000;
+  // An engine reserves within a millisecond; the rest is the way to another region and back.
+  static final long RESERVE_TIMEOUT_NANOS = 150_000_000;
   private static final long REMOTE_ASK_TIMEOUT_NANOS = 300_000_000;
   // A transfer that has not ended this long before its KV cache expires is taken elsewhere.
   private static final long TRANSFER_RESERVE_NANOS = 200_000_000;
@@ -64,6 +66,7 @@
         boolean unanswered = a.lastAskNanos > a.progressNanos;
         yield a.lastAskNanos + (unanswered ? askTimeout(a) : QUEUE_CHECK_NANOS);
       }
+      case RESERVING -> a.sinceNanos + RESERVE_TIMEOUT_NANOS;
       case PREFILL -> a.extended ? latestUseful(q, a) + 1 : lateAt(a);
       case TRANSFER -> Math.max(now + DECODE_CHECK_NANOS / 10, transferCheck(a, now));
       case DECODE -> now + DECODE_CHECK_NANOS;
--- a/core/src/main/java/org/mustardlatch/core/routing/EntryRequest.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/EntryRequest.java
@@ -41,6 +41,9 @@
   /** Engines that may have begun to generate the answer. */
   int runs;
 
+  /** Engines that had no room for a reservation. */
+  int reservationRefusals;
+
   private int attempts;
 
   EntryRequest(GenerationRequest request, long arrivedNanos) {
--- a/core/src/main/java/org/mustardlatch/core/routing/EntrySide.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/EntrySide.java
@@ -34,6 +34,7 @@
   private static final double RETRY_UNITS = 4;
   private static final double MAX_RETRY_UNITS = 6;
 
+  private static final int MAX_RESERVATION_REFUSALS = 6;
   static final int MAX_ATTEMPTS = 8;
   static final Duration LATER = Duration.ofSeconds(1);
 
@@ -223,7 +224,7 @@
       starter.quarantined(q);
       return;
     }
-    fx.explain(q.request.id(), "cell_refused", a.cell.name() + " " + answer.code().wireName());
+    fx.explain(q.request.id(), "cell_refused", refusal(a, answer));
     if (a.inherited != null) {
       fx.emit(new RoutingCommand.ReleaseKv(a.inherited));
       retry(q, Failure.KV_EXPIRED);
@@ -232,8 +233,34 @@
     starter.cellRefused(q, a.cell.name(), answer.code(), after);
   }
 
+  private static String refusal(Attempt a, ReserveRefused answer) {
+    CellSummary s = answer.summary();
+    return a.cell.name()
+        + " "
+        + answer.code().wireName()
+        + " predicted_wait_ms="
+        + s.predictedWaitNanos() / 1_000_000
+        + " free_slots="
+        + s.freeSlots();
+  }
+
   // ---- events of upstreams ----
 
+  void engineReserved(AttemptId id) {
+    if (requests.find(id) instanceof Found(EntryRequest q, Attempt a)
+        && a.state == Attempt.State.RESERVING) {
+      driver.startPrefill(a);
+      arm(q);
+    }
+  }
+
+  void engineNotReserved(AttemptId id, Failure failure) {
+    if (requests.find(id) instanceof Found(EntryRequest q, Attempt a)
+        && a.state == Attempt.State.RESERVING) {
+      failed(q, a, a.decode, failure);
+    }
+  }
+
   void prefillFinished(AttemptId id, KvHandle handle) {
     if (!(requests.find(id) instanceof Found(EntryRequest q, Attempt a))
         || a.state != Attempt.State.PREFILL) {
@@ -365,6 +392,8 @@
     } else if (reuse && handle != null && retries.take()) {
       fx.explain(q.request.id(), "decode_reassigned", "KV cache of " + handle.source());
       starter.launch(q, a.cell, handle);
+    } else if (a.state == Attempt.State.RESERVING) {
+      reserveElsewhere(q);
     } else if (ran && !q.mayRunAgain()) {
       fx.explain(q.request.id(), "not_repeatable", "runs=" + q.runs);
       refuse(q, ErrorCode.UPSTREAM_FAILED, "upstream failed: " + failure, Duration.ZERO);
@@ -376,6 +405,16 @@
     }
   }
 
+  /** Goes on after an engine had no room. Nothing was spent, so the retry budget is not touched. */
+  private void reserveElsewhere(EntryRequest q) {
+    q.reservationRefusals++;
+    if (q.reservationRefusals <= MAX_RESERVATION_REFUSALS) {
+      starter.begin(q);
+    } else {
+      refuse(q, ErrorCode.OVERLOADED, "no engine has room", spread.draw(2, 1));
+    }
+  }
+
   private void reportCrash(
       EntryRequest q, Attempt a, @Nullable UpstreamId upstream, Failure failure) {
     if (failure != Failure.CRASHED) {
@@ -460,6 +499,11 @@
         }
       }
       case QUEUED -> checkQueued(q, a);
+      case RESERVING -> {
+        if (now - a.sinceNanos >= AttemptTimes.RESERVE_TIMEOUT_NANOS) {
+          failed(q, a, a.decode, Failure.STALLED);
+        }
+      }
       case PREFILL -> checkPrefill(q, a);
       case TRANSFER -> {
         KvHandle h = a.handle;
--- a/core/src/main/java/org/mustardlatch/core/routing/NodeRouter.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/NodeRouter.java
@@ -115,6 +115,8 @@
     switch (event) {
       case RoutingEvent.RequestArrived e -> entry.arrived(e.request());
       case RoutingEvent.CallerGone e -> entry.callerGone(e.request());
+      case RoutingEvent.EngineReserved e -> entry.engineReserved(e.attempt());
+      case RoutingEvent.EngineNotReserved e -> entry.engineNotReserved(e.attempt(), e.failure());
       case RoutingEvent.PrefillFinished e -> entry.prefillFinished(e.attempt(), e.handle());
       case RoutingEvent.PrefillFailed e -> entry.prefillFailed(e.attempt(), e.failure());
       case RoutingEvent.DecodeStarted e -> entry.decodeStarted(e.attempt());
--- a/core/src/main/java/org/mustardlatch/core/routing/Placer.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/Placer.java
@@ -16,7 +16,9 @@
   private static final double SLOW_RATIO = 1.5;
   private static final double PROBE_BUDGET_SHARE = 0.2;
   // Links between availability zones carry a KV cache at about half the rate of those within one.
-  private static final double CROSS_ZONE_FACTOR = 2;
+  private static final long CROSS_ZONE_NANOS = 10_000_000;
+  // Prompts that decode engines process slow down their streams, so waiting comes first.
+  private static final double WHOLE_BUDGET_SHARE = 0.6;
   private static final long MEDIAN_AGE_NANOS = 50_000_000;
 
   private final Cell cell;
@@ -91,7 +93,7 @@
     refreshMedians(now);
     if (ask.source() != null) {
       EngineState d = decode(ask, null, suspect, link, handover, now);
-      return d == null ? null : new Placement(null, d, 0, 0, afterPrefill(ask, null, d, link));
+      return d == null ? null : new Placement(null, d, 0, 0, afterPrefill(ask, d, link));
     }
     Placement split = placeSplit(ask, suspect, link, handover, now);
     return split != null ? split : placeWhole(ask, suspect, link, handover, now);
@@ -109,8 +111,9 @@
     }
     long nominal = d.nominalPrefillNanos(ask.promptTokens(), ask.prefixBlocks());
     long finish = d.backlogNanos(now) + nominal;
-    boolean prefillSooner = finishAfterWaiting(ask, now) <= finish;
-    return prefillSooner ? null : new Placement(d, d, nominal, finish, finish);
+    double waiting = finishAfterWaiting(ask, now);
+    boolean inTime = waiting <= Math.max((double) finish, WHOLE_BUDGET_SHARE * ask.budgetNanos());
+    return inTime ? null : new Placement(d, d, nominal, finish, finish);
   }
 
   private @Nullable Placement placeSplit(
@@ -148,7 +151,7 @@
       return null;
     }
     long finish = best.backlogNanos(now) + (long) (bestNominal * best.prefillRatio(now));
-    long first = finish + (d == best ? 0 : afterPrefill(ask, best, d, link));
+    long first = finish + (d == best ? 0 : afterPrefill(ask, d, link));
     return new Placement(best, d, bestNominal, finish, first);
   }
 
@@ -235,22 +238,24 @@
       EngineState e, Ask ask, @Nullable EngineState prefill, LinkEstimate link, double slowness) {
     double occupancy = (e.heldSlots + e.unaccounted + 1.0) / Math.max(1, e.upstream.slots());
     double share = slowness > SLOW_RATIO ? slowness : 1;
-    double transfer = e == prefill ? 0 : afterPrefill(ask, prefill, e, link);
+    double transfer = e == prefill ? 0 : afterPrefill(ask, e, link) + distance(prefill, e);
     return transfer + occupancy * share * cell.model().tokenGapTarget().toNanos();
   }
 
+  private static long distance(@Nullable EngineState prefill, EngineState decode) {
+    boolean sameZone = prefill == null || prefill.upstream.zone().equals(decode.upstream.zone());
+    return sameZone ? 0 : CROSS_ZONE_NANOS;
+  }
+
   /** Returns how slow a decode engine is against the median of its pool, by its worse half. */
   private double slowness(EngineState e) {
     return Math.max(
         e.tokenPace.ratio() / medianToken, Math.min(4, e.transferPace.ratio() / medianTransfer));
   }
 
-  private long afterPrefill(
-      Ask ask, @Nullable EngineState prefill, EngineState decode, LinkEstimate link) {
+  private long afterPrefill(Ask ask, EngineState decode, LinkEstimate link) {
     long bytes = cell.model().kvBytesPerToken() * ask.promptTokens();
-    boolean sameZone = prefill == null || prefill.upstream.zone().equals(decode.upstream.zone());
-    double distance = sameZone ? 1 : CROSS_ZONE_FACTOR;
-    return (long) (link.transferNanos(bytes) * distance * Math.max(1, decode.transferPace.ratio()));
+    return (long) (link.transferNanos(bytes) * Math.max(1, decode.transferPace.ratio()));
   }
 
   private static boolean isStraggler(double ratio, double median) {
--- a/core/src/main/java/org/mustardlatch/core/routing/RoutingCommand.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/RoutingCommand.java
@@ -10,6 +10,14 @@
 
 /** Something that the routing decisions of a node want done. */
 public sealed interface RoutingCommand {
+  /**
+   * Reserve a slot and KV memory at the engine that is to decode, before a prefill is spent.
+   *
+   * @param tokens KV memory to reserve, tokens
+   */
+  record ReserveEngine(AttemptId attempt, UpstreamId upstream, int tokens)
+      implements RoutingCommand {}
+
   /** Start the prefill of an attempt. */
   record StartPrefill(AttemptId attempt, UpstreamId upstream) implements RoutingCommand {}
 
--- a/core/src/main/java/org/mustardlatch/core/routing/RoutingEvent.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/RoutingEvent.java
@@ -16,6 +16,12 @@
   /** The caller of a request is gone. */
   record CallerGone(RequestId request) implements RoutingEvent {}
 
+  /** The decode engine reserved a slot and memory for an attempt. */
+  record EngineReserved(AttemptId attempt) implements RoutingEvent {}
+
+  /** The decode engine did not reserve anything for an attempt. */
+  record EngineNotReserved(AttemptId attempt, Failure failure) implements RoutingEvent {}
+
   /** A prefill ended and its KV cache can be fetched. */
   record PrefillFinished(AttemptId attempt, KvHandle handle) implements RoutingEvent {}
 
--- a/core/src/test/java/org/mustardlatch/core/routing/FakeFleet.java
+++ b/core/src/test/java/org/mustardlatch/core/routing/FakeFleet.java
@@ -243,6 +243,8 @@
 
   private void command(Node node, RoutingCommand command) {
     switch (command) {
+      case RoutingCommand.ReserveEngine c ->
+          after(MILLI, () -> node.event(new RoutingEvent.EngineReserved(c.attempt())));
       case RoutingCommand.StartPrefill c -> prefill(node, c);
       case RoutingCommand.StartDecode c -> decode(node, c);
       case RoutingCommand.CancelAttempt c -> engine(c.upstream()).held.remove(c.attempt());
--- a/daemon/src/main/java/org/mustardlatch/daemon/routing/RoutingService.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/routing/RoutingService.java
@@ -67,6 +67,8 @@
 
   private void carryOut(RoutingCommand command) {
     switch (command) {
+      case RoutingCommand.ReserveEngine c ->
+          throw new IllegalStateException("these engines are not reservable: " + c);
       case RoutingCommand.StartPrefill c ->
           find(c.attempt().request())
               .ifPresentOrElse(
--- a/gateway/src/main/java/org/mustardlatch/gateway/ApplicationPath.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/ApplicationPath.java
@@ -132,7 +132,7 @@
       tried.add(c.id());
       attempts++;
       long remaining = Math.max(1, (exchange.endNanos() - now) / 1_000_000);
-      var plan = new UpstreamCallPlan(target, remaining, UpstreamCallPlan.WHOLE, null);
+      var plan = new UpstreamCallPlan(target, remaining, UpstreamCallPlan.WHOLE, null, null);
       double predicted = balancer.predictedNanos(c, now);
       EventLog.log(
           LogEvent.REQUEST_SENT,
@@ -202,9 +202,13 @@
     }
 
     private void answered(Try t, UpstreamAnswer a) {
-      active.remove(t);
       long now = timers.nanos();
       UpstreamHead info = protocol.read(a.head());
+      if (a.succeeded() && !info.genuine()) {
+        failedCall(t, CallFailure.GARBLED, "success without the mark of an upstream");
+        return;
+      }
+      active.remove(t);
       if (info.notRun()) {
         exchange.notRun();
         balancer.refused(t.upstream, info.load(), now);
@@ -241,7 +245,7 @@
       }
     }
 
-    private void failed(Try t, CallFailure failure, String reason) {
+    private void failedCall(Try t, CallFailure failure, String reason) {
       active.remove(t);
       balancer.failed(t.upstream, timers.nanos());
       EventLog.log(
@@ -302,7 +306,7 @@
 
       @Override
       public void failed(CallFailure failure, String reason) {
-        Run.this.failed(this, failure, reason);
+        failedCall(this, failure, reason);
       }
     }
   }
--- a/gateway/src/main/java/org/mustardlatch/gateway/Budgets.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/Budgets.java
@@ -9,9 +9,8 @@
   // Usual number of nodes of a fleet; each starts with an equal part of the extra repeats.
   private static final double USUAL_NODES = 10;
   // Callers heed a time of up to a third of what they have left.
-  private static final int HEEDED_PART = 4;
+  private static final double HEEDED_PART = 3.2;
   private static final long MIN_COME_BACK_MILLIS = 20;
-  private static final long MAX_COME_BACK_MILLIS = 2_000;
 
   private Budgets() {}
 
@@ -22,8 +21,8 @@
 
   /** Returns a time that spreads the return of refused callers over what they have left. */
   static Duration comeBack(Exchange exchange, long now, RandomGenerator random) {
-    long left = (exchange.endNanos() - now) / 1_000_000 / HEEDED_PART;
-    long most = Math.clamp(left, MIN_COME_BACK_MILLIS, MAX_COME_BACK_MILLIS);
-    return Duration.ofMillis(random.nextLong(most / 2, most + 1));
+    long left = (long) ((exchange.endNanos() - now) / 1e6 / HEEDED_PART);
+    long most = Math.max(left, MIN_COME_BACK_MILLIS);
+    return Duration.ofMillis(random.nextLong(most / 3, most + 1));
   }
 }
--- a/gateway/src/main/java/org/mustardlatch/gateway/Exchange.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/Exchange.java
@@ -22,6 +22,9 @@
 
 /** A caller's request that has a route, and how it ends. */
 final class Exchange {
+  // Callers of a route differ in how long they wait; only a shorter time shows a second attempt.
+  private static final double LEAST_PATIENCE = 0.8;
+
   private final String name;
   private final CallerExchange caller;
   private final CallerRequest request;
@@ -52,7 +55,9 @@
       wait = Math.min(wait, Math.max(1, stated));
     }
     this.waitedNanos =
-        stated == null ? 0 : Math.max(0, usualPatience.minusMillis(stated).toNanos());
+        stated == null
+            ? 0
+            : Math.max(0, (long) (usualPatience.toNanos() * LEAST_PATIENCE) - stated * 1_000_000);
     this.endNanos = caller.receivedNanos() + Duration.ofMillis(wait).toNanos();
   }
 
--- a/gateway/src/main/java/org/mustardlatch/gateway/FleetManifest.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/FleetManifest.java
@@ -108,7 +108,8 @@
         USUAL_TOKEN_GAP,
         engine.memoryTokens(),
         engine.kvBytesPerToken(),
-        TOKENS_PER_PIECE);
+        TOKENS_PER_PIECE,
+        !engine.longestReservation().isZero());
   }
 
   private static Upstream upstream(Instance i, EngineTraits engine) {
--- a/gateway/src/main/java/org/mustardlatch/gateway/GenerationPath.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/GenerationPath.java
@@ -44,20 +44,24 @@
   /** Requests that are late already; they are served from spare capacity. */
   static final WorkspaceId LATE = new WorkspaceId("late");
 
+  // Predictions are uncertain; a request that may be a little late is tried rather than refused.
+  private static final double PREDICTION_SLACK = 0.25;
+
   // Less time than this is not enough for a prefill and a transfer.
   private static final long MIN_FIRST_TOKEN_NANOS = 150_000_000;
 
-  // Callers give a stream up after four times its target without a first event.
-  private static final int USEFUL_TARGETS = 4;
+  // A request that is late already waits this many targets for spare capacity, and is refused then.
+  private static final double LATE_WAIT_TARGETS = 1.2;
   // The engine's clock for an exported KV cache starts before its answer has arrived here.
   private static final Duration HANDLE_MARGIN = Duration.ofMillis(50);
+  // Covers a prefill at the crest; room that is kept for nobody is lost to others.
+  private static final Duration RESERVATION_LIFE = Duration.ofMillis(1_200);
   private static final Duration OWN_PROMPT_LIFE = Duration.ofDays(1);
-  private static final double MEMORY_SHARE_OF_ANSWER = 0.8;
+  private static final double MEMORY_SHARE_OF_ANSWER = 0.5;
   // Callers' hints are often far off, so they are drawn towards the usual length.
   private static final double HINT_WEIGHT = 0.66;
   private static final double NEWEST_WEIGHT = 0.05;
   private static final int SUCCESS = 200;
-  private static final int FIRST_FAILURE = 300;
 
   private final Fleet fleet;
   private final TimerService timers;
@@ -71,6 +75,7 @@
   private final Map<RequestId, Stream> streams = new HashMap<>();
   private final Map<CallerExchange, Stream> byCaller = new HashMap<>();
   private final Map<AttemptId, Call> calls = new HashMap<>();
+  private final Map<AttemptId, Reserved> reserved = new HashMap<>();
   private double usualHint;
   private long manifestRevision;
 
@@ -118,7 +123,10 @@
     long target = exchange.route().latencyTarget().toNanos();
     long inTime = received + target - exchange.waitedNanos();
     boolean late = inTime - timers.nanos() < MIN_FIRST_TOKEN_NANOS;
-    long firstToken = late ? received + USEFUL_TARGETS * target : inTime;
+    long firstToken =
+        late
+            ? timers.nanos() + (long) (LATE_WAIT_TARGETS * target)
+            : inTime + (long) (PREDICTION_SLACK * target);
     GenerationRequest request =
         new GenerationRequest(
             new RequestId(exchange.name()),
@@ -188,6 +196,7 @@
 
   private void carryOut(RoutingCommand command) {
     switch (command) {
+      case RoutingCommand.ReserveEngine c -> reserve(c);
       case RoutingCommand.StartPrefill c -> startPrefill(c);
       case RoutingCommand.StartDecode c -> startDecode(c);
       case RoutingCommand.CancelAttempt c -> cancel(c.attempt());
@@ -211,6 +220,34 @@
     EventLog.log(LogEvent.DECISION, caller, c.request(), c.rule(), c.detail());
   }
 
+  private void reserve(RoutingCommand.ReserveEngine c) {
+    Stream s = streams.get(c.attempt().request());
+    Instance target = fleet.instance(c.upstream().value());
+    if (s == null || target == null) {
+      post(new RoutingEvent.EngineNotReserved(c.attempt(), Failure.REFUSED));
+      return;
+    }
+    EngineTraits engine = s.exchange.service().engine();
+    Duration longest = engine == null ? Duration.ZERO : engine.longestReservation();
+    Duration life = longest.compareTo(RESERVATION_LIFE) < 0 ? longest : RESERVATION_LIFE;
+    call(
+        c.attempt(),
+        target,
+        protocol.reserve(target, c.tokens(), life),
+        new ReservationAnswer(c.attempt(), s, target));
+  }
+
+  /** Gives back the room that an engine keeps for an attempt that will not come. */
+  private void dropReservation(AttemptId attempt) {
+    Reserved r = reserved.remove(attempt);
+    if (r != null) {
+      var request =
+          new CallRequest(
+              protocol.dropReservation(r.engine, r.name), new byte[0], true, answer -> true);
+      fleet.pool(r.engine).send(request, new ReleaseAnswer(r.name, r.engine.id()));
+    }
+  }
+
   private void startPrefill(RoutingCommand.StartPrefill c) {
     Stream s = streams.get(c.attempt().request());
     Instance target = fleet.instance(c.upstream().value());
@@ -226,7 +263,7 @@
           new RoutingEvent.PrefillFinished(
               c.attempt(), new KvHandle(c.upstream(), "own", 0, expires)));
     } else {
-      var plan = s.plan(target, UpstreamCallPlan.PREFILL);
+      var plan = s.plan(target, UpstreamCallPlan.PREFILL, null);
       s.logSent(target, "prefill", c.attempt());
       call(c.attempt(), target, s.exchange.call(plan), new PrefillAnswer(c.attempt(), s, target));
     }
@@ -249,7 +286,9 @@
             ? UpstreamCallPlan.WHOLE
             : new UpstreamCallPlan.Work.Decode(source, c.handle().reference());
     s.logSent(target, own ? "whole" : "decode", c.attempt());
-    CallRequest request = s.exchange.call(s.plan(target, work));
+    Reserved room = reserved.remove(c.attempt());
+    String reservation = room != null && room.engine.id().equals(target.id()) ? room.name : null;
+    CallRequest request = s.exchange.call(s.plan(target, work, reservation));
     call(c.attempt(), target, request, new DecodeAnswer(c.attempt(), s));
   }
 
@@ -259,6 +298,7 @@
   }
 
   private void cancel(AttemptId attempt) {
+    dropReservation(attempt);
     Call call = calls.remove(attempt);
     if (call != null) {
       call.cancel();
@@ -272,7 +312,7 @@
     }
     var kv = new UpstreamCallPlan.Work.Decode(source, handle.reference());
     var request = new CallRequest(protocol.release(kv), new byte[0], true, r -> true);
-    fleet.pool(source).send(request, new ReleaseAnswer(handle));
+    fleet.pool(source).send(request, new ReleaseAnswer(handle.reference(), source.id()));
   }
 
   private void refuse(RoutingCommand.Refuse c) {
@@ -314,9 +354,10 @@
       this.id = new RequestId(exchange.name());
     }
 
-    UpstreamCallPlan plan(Instance target, UpstreamCallPlan.Work work) {
+    UpstreamCallPlan plan(
+        Instance target, UpstreamCallPlan.Work work, @Nullable String reservation) {
       long left = (exchange.endNanos() - System.nanoTime()) / 1_000_000;
-      return new UpstreamCallPlan(target, Math.max(1, left), work, events.lastId());
+      return new UpstreamCallPlan(target, Math.max(1, left), work, events.lastId(), reservation);
     }
 
     void logSent(Instance target, String stage, AttemptId attempt) {
@@ -331,6 +372,67 @@
     }
   }
 
+  private record Reserved(Instance engine, String name) {}
+
+  /** Hears whether an engine keeps room for an attempt. */
+  private final class ReservationAnswer implements CallListener {
+    private final AttemptId attempt;
+    private final Stream stream;
+    private final Instance engine;
+    private @Nullable UpstreamAnswer answer;
+
+    ReservationAnswer(AttemptId attempt, Stream stream, Instance engine) {
+      this.attempt = attempt;
+      this.stream = stream;
+      this.engine = engine;
+    }
+
+    @Override
+    public void head(HttpResponse h) {
+      answer = new UpstreamAnswer(h);
+    }
+
+    @Override
+    public void body(ByteBuf part) {
+      if (answer != null) {
+        answer.add(part);
+      }
+    }
+
+    @Override
+    public void end() {
+      calls.remove(attempt);
+      UpstreamAnswer a = answer;
+      if (a == null || a.status() != SUCCESS) {
+        refused("status " + (a == null ? 0 : a.status()), Failure.REFUSED);
+        return;
+      }
+      try {
+        reserved.put(attempt, new Reserved(engine, protocol.readReservation(a.body())));
+        post(new RoutingEvent.EngineReserved(attempt));
+      } catch (IllegalArgumentException e) {
+        refused("unreadable: " + e.getMessage(), Failure.REFUSED);
+      }
+    }
+
+    @Override
+    public void failed(CallFailure failure, String reason) {
+      calls.remove(attempt);
+      refused(failure + " " + reason, Failure.DISCONNECTED);
+    }
+
+    private void refused(String reason, Failure failure) {
+      EventLog.log(
+          LogEvent.CALL_FAILED,
+          stream.exchange.callerId(),
+          attempt,
+          engine.id(),
+          "reserve",
+          reason);
+      post(new RoutingEvent.EngineNotReserved(attempt, failure));
+    }
+  }
+
   /** Collects the answer to a prefill. */
   private final class PrefillAnswer implements CallListener {
     private final AttemptId attempt;
@@ -365,6 +467,7 @@
         boolean notRun = a != null && protocol.read(a.head()).notRun();
         int status = a == null ? 0 : a.status();
         logFailed("prefill status " + status);
+        dropReservation(attempt);
         post(
             new RoutingEvent.PrefillFailed(
                 attempt, notRun ? Failure.REFUSED : Failure.DISCONNECTED));
@@ -374,6 +477,7 @@
         post(new RoutingEvent.PrefillFinished(attempt, handle(protocol.readExport(a.body()))));
       } catch (IllegalArgumentException e) {
         logFailed("unreadable export: " + e.getMessage());
+        dropReservation(attempt);
         post(new RoutingEvent.PrefillFailed(attempt, Failure.DISCONNECTED));
       }
     }
@@ -397,6 +501,7 @@
     public void failed(CallFailure failure, String reason) {
       calls.remove(attempt);
       logFailed(failure + " " + reason);
+      dropReservation(attempt);
       post(new RoutingEvent.PrefillFailed(attempt, Failure.DISCONNECTED));
     }
 
@@ -433,8 +538,9 @@
       answer = new UpstreamAnswer(h);
     }
 
-    private static boolean succeeds(UpstreamAnswer a) {
-      return a.status() < FIRST_FAILURE;
+    /** Returns whether this is the stream; a success without an upstream's mark is a fragment. */
+    private boolean succeeds(UpstreamAnswer a) {
+      return a.succeeded() && protocol.read(a.head()).genuine();
     }
 
     @Override
@@ -500,7 +606,8 @@
         post(new RoutingEvent.DecodeFailed(attempt, Failure.REFUSED));
       } else {
         logFailed("status " + a.status());
-        stream.failed = a;
+        // A success without the mark of an upstream is no answer that a caller may get.
+        stream.failed = a.succeeded() ? null : a;
         post(new RoutingEvent.DecodeFailed(attempt, Failure.DISCONNECTED));
       }
     }
@@ -523,10 +630,12 @@
 
   /** Takes note when a KV cache could not be freed; it expires by itself. */
   private static final class ReleaseAnswer implements CallListener {
-    private final KvHandle handle;
+    private final String name;
+    private final String engine;
 
-    ReleaseAnswer(KvHandle handle) {
-      this.handle = handle;
+    ReleaseAnswer(String name, String engine) {
+      this.name = name;
+      this.engine = engine;
     }
 
     @Override
@@ -540,7 +649,7 @@
 
     @Override
     public void failed(CallFailure failure, String reason) {
-      EventLog.log(LogEvent.KV_NOT_FREED, handle.reference(), handle.source(), reason);
+      EventLog.log(LogEvent.KV_NOT_FREED, name, engine, reason);
     }
   }
 
--- a/gateway/src/main/java/org/mustardlatch/gateway/UpstreamAnswer.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/UpstreamAnswer.java
@@ -6,6 +6,8 @@
 
 /** An answer of an upstream that is collected before it goes on. */
 final class UpstreamAnswer {
+  private static final int FIRST_FAILURE = 300;
+
   private final HttpResponse head;
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
 
@@ -27,6 +29,10 @@
     return head.status().code();
   }
 
+  boolean succeeded() {
+    return status() < FIRST_FAILURE;
+  }
+
   byte[] body() {
     return body.toByteArray();
   }
--- a/gateway/src/main/java/org/mustardlatch/gateway/UpstreamCallPlan.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/UpstreamCallPlan.java
@@ -9,10 +9,15 @@
  * @param target the upstream that must answer
  * @param remainingMillis time left for the answer, milliseconds, at least 1
  * @param work what the upstream is to do
+ * @param reservation the engine's name of the room that it keeps for this request; null for none
  * @param resumeAfter id of the last event that the caller has; null to start at the beginning
  */
 public record UpstreamCallPlan(
-    Instance target, long remainingMillis, Work work, @Nullable String resumeAfter) {
+    Instance target,
+    long remainingMillis,
+    Work work,
+    @Nullable String resumeAfter,
+    @Nullable String reservation) {
   /** What an upstream is asked for. */
   public sealed interface Work {
     /** The whole answer. */
--- a/gateway/src/main/java/org/mustardlatch/gateway/config/EngineTraits.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/config/EngineTraits.java
@@ -9,6 +9,12 @@
  * @param memoryTokens tokens that fit into the KV memory of an engine
  * @param kvBytesPerToken size of the KV cache of a token, bytes
  * @param handleLife how long an exported KV cache is kept
+ * @param longestReservation how long an engine keeps room for a request that has not come; zero
+ *     when it takes no reservations
  */
 public record EngineTraits(
-    int slots, int memoryTokens, long kvBytesPerToken, Duration handleLife) {}
+    int slots,
+    int memoryTokens,
+    long kvBytesPerToken,
+    Duration handleLife,
+    Duration longestReservation) {}
--- a/gateway/src/main/java/org/mustardlatch/gateway/store/HttpStoreReader.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/store/HttpStoreReader.java
@@ -19,7 +19,7 @@
 /** Reads objects of one kind over HTTP. */
 public final class HttpStoreReader<T> implements StoreReader<T> {
   // A store that answers in milliseconds is taken for unreachable after this.
-  private static final Duration TIMEOUT = Duration.ofSeconds(2);
+  private static final Duration TIMEOUT = Duration.ofMillis(1_500);
 
   private final TimerService timers;
   private final UpstreamPool pool;
--- a/gateway/src/main/java/org/mustardlatch/gateway/store/StoreWatcher.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/store/StoreWatcher.java
@@ -12,8 +12,9 @@
  * goes on from the last revision, and lists again when the store has forgotten the history.
  */
 public final class StoreWatcher<T> {
-  // Each call is billed, and a waiting one is cut off by keep-alive probes when its path is dead.
-  private static final Duration WAIT = Duration.ofSeconds(10);
+  // Each call is billed, but a path that has gone silent only shows when a call is not answered in
+  // time, and changes must be in force within seconds after it heals.
+  private static final Duration WAIT = Duration.ofMillis(2_500);
   private static final Duration FIRST_BACKOFF = Duration.ofMillis(100);
   private static final int MAX_DOUBLINGS = 3;
 
--- a/replay/src/main/java/org/mustardlatch/replay/BaselinePolicy.java
+++ b/replay/src/main/java/org/mustardlatch/replay/BaselinePolicy.java
@@ -71,6 +71,8 @@
         }
       }
       case RoutingEvent.DecodeStarted e -> {}
+      case RoutingEvent.EngineReserved e -> {}
+      case RoutingEvent.EngineNotReserved e -> {}
       case RoutingEvent.HeldAttemptsListed e -> {}
       case RoutingEvent.PeerReceived e -> {}
       case RoutingEvent.MembersChanged e -> {}
--- a/replay/src/main/java/org/mustardlatch/replay/Dispatcher.java
+++ b/replay/src/main/java/org/mustardlatch/replay/Dispatcher.java
@@ -49,6 +49,8 @@
 
   void execute(ReplayNode node, RoutingCommand command, Callers callers, Fleet fleet) {
     switch (command) {
+      case RoutingCommand.ReserveEngine c ->
+          throw new IllegalStateException("the engines of a replay are not reservable: " + c);
       case RoutingCommand.StartPrefill c -> startPrefill(node, c, callers);
       case RoutingCommand.StartDecode c -> startDecode(node, c, callers);
       case RoutingCommand.CancelAttempt c ->
