--- /dev/null
+++ b/core/src/test/java/org/mustardlatch/core/balancing/BalancerTest.java
@@ -0,0 +1,64 @@
+package org.mustardlatch.core.balancing;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.mustardlatch.core.model.UpstreamId;
+
+/** Guards against requests that wait at one upstream while another one is free. */
+class BalancerTest {
+  private static final long MILLI = 1_000_000;
+  private static final UpstreamId NEAR = new UpstreamId("near");
+  private static final UpstreamId FAR = new UpstreamId("far");
+
+  private final Balancer balancer = new Balancer();
+  private final List<Candidate> both =
+      List.of(new Candidate(NEAR, 2, MILLI), new Candidate(FAR, 2, 25 * MILLI));
+
+  private UpstreamId choose(long now) {
+    return Objects.requireNonNull(balancer.choose(both, Set.of(), now)).id();
+  }
+
+  @Test
+  void prefersTheNearUpstreamWhileItHasSlots() {
+    assertThat(choose(0)).isEqualTo(NEAR);
+    balancer.sent(NEAR);
+    assertThat(choose(0)).isEqualTo(NEAR);
+  }
+
+  @Test
+  void goesFurtherWhenTheNearOneIsFullForLongerThanTheWay() {
+    for (int i = 0; i < 5; i++) {
+      balancer.sent(NEAR);
+    }
+
+    assertThat(choose(0)).isEqualTo(FAR);
+  }
+
+  @Test
+  void avoidsAStragglerByTheLoadThatItStates() {
+    balancer.sent(NEAR);
+    balancer.answered(NEAR, 50 * MILLI, new UpstreamLoad(1, 0, 2, 2.5), 0);
+
+    assertThat(choose(MILLI)).isEqualTo(FAR);
+    assertThat(choose(1_000 * MILLI)).isEqualTo(NEAR);
+  }
+
+  @Test
+  void avoidsAnUpstreamThatBrokeOffButUsesItWhenNothingElseIsLeft() {
+    balancer.sent(NEAR);
+    balancer.failed(NEAR, 0);
+
+    assertThat(choose(MILLI)).isEqualTo(FAR);
+    assertThat(Objects.requireNonNull(balancer.choose(both, Set.of(FAR), MILLI)).id())
+        .isEqualTo(NEAR);
+  }
+
+  @Test
+  void neverChoosesAnUpstreamTwiceForOneRequest() {
+    assertThat(balancer.choose(both, Set.of(NEAR, FAR), 0)).isNull();
+  }
+}
--- a/core/src/test/java/org/mustardlatch/core/routing/NodeRouterTest.java
+++ b/core/src/test/java/org/mustardlatch/core/routing/NodeRouterTest.java
@@ -11,6 +11,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.mustardlatch.core.error.ErrorCode;
+import org.mustardlatch.core.manifest.Manifest;
+import org.mustardlatch.core.manifest.Model;
 import org.mustardlatch.core.manifest.Objective;
 import org.mustardlatch.core.manifest.UpstreamRole;
 import org.mustardlatch.core.model.AttemptId;
@@ -373,4 +375,113 @@
       assertThat(second.openReservations()).isEqualTo(1);
     }
   }
+
+  private GenerationRequest once(String id) {
+    GenerationRequest r = Fixtures.request(id, 2000, now);
+    return new GenerationRequest(
+        r.id(),
+        r.workspace(),
+        r.model(),
+        r.promptTokens(),
+        r.maxOutputTokens(),
+        r.promptBytes(),
+        r.prefixBlocks(),
+        r.fingerprint(),
+        r.firstTokenDeadlineNanos(),
+        r.finalDeadlineNanos(),
+        false,
+        1,
+        r.maxOutputTokens());
+  }
+
+  @Test
+  void doesNotRepeatAGenerationThatMayHaveBegunAndMustRunOnce() {
+    handle(new RoutingEvent.RequestArrived(once("r1")));
+    RoutingCommand.StartDecode d = prefilled(last(RoutingCommand.StartPrefill.class));
+    handle(new RoutingEvent.DecodeFailed(d.attempt(), Failure.DISCONNECTED));
+
+    assertThat(all(RoutingCommand.StartDecode.class)).hasSize(1);
+    assertThat(last(RoutingCommand.Refuse.class).code()).isEqualTo(ErrorCode.UPSTREAM_FAILED);
+    assertNothingLeft();
+  }
+
+  @Test
+  void repeatsAGenerationThatMustRunOnceWhenItsEngineRefusedIt() {
+    handle(new RoutingEvent.RequestArrived(once("r1")));
+    RoutingCommand.StartDecode d = prefilled(last(RoutingCommand.StartPrefill.class));
+    handle(new RoutingEvent.DecodeFailed(d.attempt(), Failure.REFUSED));
+
+    assertThat(all(RoutingCommand.StartDecode.class)).hasSize(2);
+    assertThat(all(RoutingCommand.Refuse.class)).isEmpty();
+  }
+
+  @Test
+  void doesNotEndAGenerationThatMustRunOnceBecauseItsEngineIsSilent() {
+    handle(new RoutingEvent.RequestArrived(once("r1")));
+    RoutingCommand.StartDecode d = prefilled(last(RoutingCommand.StartPrefill.class));
+    handle(new RoutingEvent.DecodeStarted(d.attempt()));
+    for (int i = 0; i < 20; i++) {
+      now += 500 * MILLI;
+      handle(new RoutingEvent.TimerFired(new TimerKey(EntrySide.TIMER, "r1")));
+    }
+
+    assertThat(all(RoutingCommand.CancelAttempt.class)).isEmpty();
+    assertThat(all(RoutingCommand.Refuse.class)).isEmpty();
+  }
+
+  private void makeReservable() {
+    Manifest m = Fixtures.manifest(Objective.WASTE_AVERSE, Fixtures.pools(2, 2));
+    Model model = m.models().getFirst();
+    Model reservable =
+        new Model(
+            model.id(),
+            model.firstTokenTarget(),
+            model.tokenGapTarget(),
+            model.maxPromptTokens(),
+            model.kvBytesPerToken(),
+            model.memoryPieceTokens(),
+            true);
+    handle(
+        new RoutingEvent.ManifestApplied(
+            2,
+            new Manifest(
+                m.name(),
+                m.objective(),
+                m.regions(),
+                m.link(),
+                m.workspaces(),
+                List.of(reservable),
+                m.upstreams(),
+                m.routes(),
+                m.ledger(),
+                m.limits())));
+  }
+
+  @Test
+  void spendsNoPrefillBeforeADecodeEngineHasReservedRoom() {
+    makeReservable();
+    handle(new RoutingEvent.RequestArrived(Fixtures.request("r1", 2000, now)));
+    RoutingCommand.ReserveEngine first = last(RoutingCommand.ReserveEngine.class);
+    assertThat(all(RoutingCommand.StartPrefill.class)).isEmpty();
+
+    handle(new RoutingEvent.EngineNotReserved(first.attempt(), Failure.REFUSED));
+    RoutingCommand.ReserveEngine second = last(RoutingCommand.ReserveEngine.class);
+    assertThat(second.upstream()).isNotEqualTo(first.upstream());
+    assertThat(all(RoutingCommand.StartPrefill.class)).isEmpty();
+
+    handle(new RoutingEvent.EngineReserved(second.attempt()));
+    assertThat(last(RoutingCommand.StartPrefill.class).attempt()).isEqualTo(second.attempt());
+  }
+
+  @Test
+  void givesTheReservedRoomBackWhenTheCallerLeaves() {
+    makeReservable();
+    handle(new RoutingEvent.RequestArrived(Fixtures.request("r1", 2000, now)));
+    RoutingCommand.ReserveEngine r = last(RoutingCommand.ReserveEngine.class);
+    handle(new RoutingEvent.EngineReserved(r.attempt()));
+    handle(new RoutingEvent.CallerGone(new RequestId("r1")));
+
+    assertThat(last(RoutingCommand.CancelAttempt.class).attempt()).isEqualTo(r.attempt());
+    assertNothingLeft();
+  }
 }
--- a/gateway/src/main/java/org/mustardlatch/gateway/Gateway.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/Gateway.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.HashMap;
@@ -82,6 +83,11 @@
     EventLog.log(LogEvent.GATEWAY_LISTENING, settings.callerAddress(), settings.readinessAddress());
   }
 
+  /** Returns where it listens for callers, with the port that was chosen for port 0. */
+  public InetSocketAddress callerAddress() {
+    return callers.address();
+  }
+
   /** Stops to be ready, finishes what is in progress and ends; call it on the event loop. */
   public void drain() {
     if (draining) {
--- /dev/null
+++ b/gateway/src/test/java/org/mustardlatch/gateway/RunningGateway.java
@@ -0,0 +1,162 @@
+package org.mustardlatch.gateway;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.mustardlatch.core.model.HostId;
+import org.mustardlatch.core.model.RegionId;
+import org.mustardlatch.core.model.ZoneId;
+import org.mustardlatch.gateway.config.CallerLimits;
+import org.mustardlatch.gateway.config.EngineStage;
+import org.mustardlatch.gateway.config.EngineTraits;
+import org.mustardlatch.gateway.config.GatewayConfiguration;
+import org.mustardlatch.gateway.config.GatewayRoute;
+import org.mustardlatch.gateway.config.GatewayService;
+import org.mustardlatch.gateway.config.Instance;
+import org.mustardlatch.gateway.config.RequestKind;
+import org.mustardlatch.gateway.config.ServiceWeight;
+import org.mustardlatch.gateway.http.NettyTimerService;
+import org.mustardlatch.gateway.store.StoredEntry;
+
+/** A gateway in this process with routes /once/, /again/, /stream/ and /resumable/. */
+final class RunningGateway implements AutoCloseable {
+  private static final InetSocketAddress ANY_PORT =
+      new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+
+  private final MultiThreadIoEventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final Gateway gateway;
+  private final Fleet fleet;
+  private final EventLoop loop;
+  private final List<Instance> instances = new ArrayList<>();
+
+  RunningGateway() throws Exception {
+    loop = group.next();
+    var timers = new NettyTimerService(loop);
+    fleet = new Fleet(loop, timers);
+    ZoneId zone = new ZoneId("a");
+    var settings =
+        new GatewaySettings(
+            new HostId("node"),
+            zone,
+            Map.of(zone, new RegionId("r")),
+            ANY_PORT,
+            ANY_PORT,
+            "/ready",
+            null,
+            null,
+            List.of(),
+            0.2,
+            40,
+            Duration.ofSeconds(2),
+            Duration.ofSeconds(4));
+    gateway =
+        new Gateway(
+            settings,
+            loop,
+            timers,
+            fleet,
+            new PlainProtocol(),
+            new NoPeers(settings),
+            1,
+            new SplittableRandom(1));
+    gateway.start();
+    onLoop(
+        () ->
+            fleet
+                .configurationListener()
+                .listed(List.of(new StoredEntry<>("main", configuration())), List.of()));
+  }
+
+  private static GatewayConfiguration configuration() {
+    return new GatewayConfiguration(
+        1,
+        List.of(
+            route("/once/", RequestKind.NON_IDEMPOTENT, "app", false),
+            route("/again/", RequestKind.IDEMPOTENT, "app", false),
+            route("/stream/", RequestKind.STREAMING, "engine", false),
+            route("/resumable/", RequestKind.STREAMING, "engine", true)),
+        List.of(
+            new GatewayService("app", 100, null),
+            new GatewayService(
+                "engine",
+                100,
+                new EngineTraits(8, 32_000, 1000, Duration.ofMillis(500), Duration.ZERO))),
+        CallerLimits.DEFAULT);
+  }
+
+  private static GatewayRoute route(
+      String prefix, RequestKind kind, String service, boolean resumable) {
+    return new GatewayRoute(
+        prefix,
+        "host",
+        prefix,
+        kind,
+        Duration.ofSeconds(5),
+        Duration.ofSeconds(1),
+        Duration.ZERO,
+        List.of(new ServiceWeight(service, 1)),
+        2,
+        resumable);
+  }
+
+  /** Adds an application upstream. */
+  RunningGateway app(String id, ScriptedUpstream upstream) throws Exception {
+    return add(id, "app", upstream, null);
+  }
+
+  /** Adds an engine. */
+  RunningGateway engine(String id, ScriptedUpstream upstream, EngineStage stage) throws Exception {
+    return add(id, "engine", upstream, stage);
+  }
+
+  private RunningGateway add(
+      String id, String service, ScriptedUpstream upstream, @Nullable EngineStage stage)
+      throws Exception {
+    instances.add(new Instance(id, 1, service, upstream.address(), "a", 8, false, stage));
+    onLoop(
+        () ->
+            fleet
+                .instanceListener()
+                .listed(
+                    instances.stream().map(i -> new StoredEntry<>(i.id(), i)).toList(), List.of()));
+    return this;
+  }
+
+  private void onLoop(Runnable task) throws Exception {
+    loop.submit(task).get(5, TimeUnit.SECONDS);
+  }
+
+  /** Opens a raw connection. */
+  Socket connect() throws IOException {
+    Socket s = new Socket(InetAddress.getLoopbackAddress(), gateway.callerAddress().getPort());
+    s.setSoTimeout(5_000);
+    return s;
+  }
+
+  /** Sends text on a connection of its own and returns all that comes back until it closes. */
+  String exchange(String request) throws IOException {
+    try (Socket s = connect()) {
+      s.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
+      s.getOutputStream().flush();
+      return new String(s.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+    }
+  }
+
+  @Override
+  public void close() {
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+  }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/mustardlatch/gateway/ScriptedUpstream.java
@@ -0,0 +1,113 @@
+package org.mustardlatch.gateway;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
+
+/** An upstream that reads requests and does what a script says, on raw sockets. */
+final class ScriptedUpstream implements AutoCloseable {
+  /** What to do with one request. */
+  interface Step {
+    /** Answers a request, or breaks off. */
+    void run(Socket socket, OutputStream out, String request) throws IOException;
+  }
+
+  private final ServerSocket server;
+  private final BlockingQueue<Step> steps = new LinkedBlockingQueue<>();
+  private final List<String> requests = new CopyOnWriteArrayList<>();
+  private final BlockingQueue<Boolean> closedByCaller = new LinkedBlockingQueue<>();
+
+  ScriptedUpstream() throws IOException {
+    server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    Thread.ofVirtual().start(this::accept);
+  }
+
+  InetSocketAddress address() {
+    return new InetSocketAddress(InetAddress.getLoopbackAddress(), server.getLocalPort());
+  }
+
+  /** Adds what to do with the next request. */
+  ScriptedUpstream then(Step step) {
+    steps.add(step);
+    return this;
+  }
+
+  /** Adds a plain answer. */
+  ScriptedUpstream thenAnswer(String text) {
+    return then((socket, out, request) -> out.write(text.getBytes(StandardCharsets.UTF_8)));
+  }
+
+  /** Returns the requests so far: head, an empty line and body. */
+  List<String> requests() {
+    return requests;
+  }
+
+  /** Becomes readable when a caller closes a connection. */
+  BlockingQueue<Boolean> closedByCaller() {
+    return closedByCaller;
+  }
+
+  private void accept() {
+    while (!server.isClosed()) {
+      try {
+        Socket s = server.accept();
+        Thread.ofVirtual().start(() -> serve(s));
+      } catch (IOException e) {
+        return;
+      }
+    }
+  }
+
+  private void serve(Socket s) {
+    try (s) {
+      while (true) {
+        String request = readRequest(s.getInputStream());
+        requests.add(request);
+        Step step = steps.take();
+        step.run(s, s.getOutputStream(), request);
+        s.getOutputStream().flush();
+        if (s.isClosed() || s.isOutputShutdown()) {
+          return;
+        }
+      }
+    } catch (IOException e) {
+      closedByCaller.add(true);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private static String readRequest(InputStream in) throws IOException {
+    StringBuilder head = new StringBuilder();
+    while (head.indexOf("\r\n\r\n") < 0) {
+      int b = in.read();
+      if (b < 0) {
+        throw new IOException("closed");
+      }
+      head.append((char) b);
+    }
+    int length = 0;
+    for (String line : head.toString().split("\r\n", -1)) {
+      if (line.toLowerCase(Locale.ROOT).startsWith("content-length:")) {
+        length = Integer.parseInt(line.substring(15).strip());
+      }
+    }
+    byte[] body = in.readNBytes(length);
+    return head + new String(body, StandardCharsets.UTF_8);
+  }
+
+  @Override
+  public void close() throws IOException {
+    server.close();
+  }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/mustardlatch/gateway/config/GatewayConfigurationTest.java
@@ -0,0 +1,61 @@
+package org.mustardlatch.gateway.config;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Objects;
+import org.junit.jupiter.api.Test;
+
+/** Guards against requests that reach a service that their route does not name. */
+class GatewayConfigurationTest {
+  private static GatewayRoute route(String name, String prefix, ServiceWeight... to) {
+    return new GatewayRoute(
+        name,
+        "host",
+        prefix,
+        RequestKind.IDEMPOTENT,
+        Duration.ofSeconds(1),
+        Duration.ofSeconds(1),
+        Duration.ZERO,
+        List.of(to),
+        1,
+        false);
+  }
+
+  private static GatewayConfiguration configuration(GatewayRoute... routes) {
+    return new GatewayConfiguration(
+        1,
+        List.of(routes),
+        List.of(new GatewayService("s", 1, null), new GatewayService("t", 1, null)),
+        CallerLimits.DEFAULT);
+  }
+
+  @Test
+  void choosesTheLongestPrefixOfTheHost() {
+    var s = new ServiceWeight("s", 1);
+    var c = configuration(route("short", "/a/", s), route("long", "/a/b/", s));
+
+    assertThat(Objects.requireNonNull(c.route("host:80", "/a/b/c?x=/a/")).name()).isEqualTo("long");
+    assertThat(Objects.requireNonNull(c.route("host", "/a/bc")).name()).isEqualTo("short");
+    assertThat(c.route("other", "/a/b/")).isNull();
+    assertThat(c.route("host", "/ab/")).isNull();
+  }
+
+  @Test
+  void dividesRequestsByWeight() {
+    GatewayRoute r = route("r", "/", new ServiceWeight("s", 90), new ServiceWeight("t", 10));
+
+    assertThat(r.service(0.0)).isEqualTo("s");
+    assertThat(r.service(0.89)).isEqualTo("s");
+    assertThat(r.service(0.91)).isEqualTo("t");
+  }
+
+  @Test
+  void refusesARouteToAServiceThatIsNotListed() {
+    GatewayRoute r = route("r", "/", new ServiceWeight("unknown", 1));
+
+    assertThrows(IllegalArgumentException.class, () -> configuration(r));
+  }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/mustardlatch/gateway/config/InstanceTableTest.java
@@ -0,0 +1,66 @@
+package org.mustardlatch.gateway.config;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Guards against work for upstreams that are gone, and against losing live ones in an outage. */
+class InstanceTableTest {
+  private static final long SECOND = 1_000_000_000;
+
+  private final InstanceTable table = new InstanceTable();
+
+  private static Instance instance(String id) {
+    return new Instance(
+        id,
+        1,
+        "s",
+        new InetSocketAddress(InetAddress.getLoopbackAddress(), 1),
+        "a",
+        1,
+        false,
+        null);
+  }
+
+  @Test
+  void removesAnEntryAtOnceWhileTheStoreIsCalm() {
+    table.storeAnswers(0, false);
+    table.replace(List.of(instance("x")), 0);
+
+    table.remove("x", SECOND);
+
+    assertThat(table.get("x")).isNull();
+  }
+
+  @Test
+  void keepsAnEntryThatLapsedInAnOutageUntilItsOwnerCouldRegisterAgain() {
+    table.storeAnswers(0, false);
+    table.replace(List.of(instance("x"), instance("y")), 0);
+    table.storeLost();
+    table.storeAnswers(10 * SECOND, true);
+
+    table.replace(List.of(instance("y")), 10 * SECOND);
+    assertThat(table.get("x")).isNotNull();
+
+    assertThat(table.expire(12 * SECOND)).isTrue();
+    assertThat(table.get("x")).isNull();
+    assertThat(table.get("y")).isNotNull();
+  }
+
+  @Test
+  void keepsAnEntryThatCameBackInTime() {
+    table.storeAnswers(0, false);
+    table.replace(List.of(instance("x")), 0);
+    table.storeLost();
+    table.storeAnswers(10 * SECOND, true);
+    table.remove("x", 10 * SECOND);
+
+    table.put(instance("x"));
+
+    assertThat(table.expire(13 * SECOND)).isFalse();
+    assertThat(table.get("x")).isNotNull();
+  }
+}
