--- a/gateway/src/main/java/org/mustardlatch/gateway/ApplicationPath.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/ApplicationPath.java
@@ -45,13 +45,16 @@
   private final Map<String, RepeatBudget> budgets = new HashMap<>();
   private final Map<CallerExchange, Run> runs = new HashMap<>();
   private final UpstreamProtocol protocol;
+  private final GatewayMetrics metrics;
 
   ApplicationPath(
       Fleet fleet,
       TimerService timers,
       GatewaySettings settings,
       UpstreamProtocol protocol,
-      RandomGenerator random) {
+      RandomGenerator random,
+      GatewayMetrics metrics) {
+    this.metrics = metrics;
     this.fleet = fleet;
     this.timers = timers;
     this.settings = settings;
@@ -228,6 +231,7 @@
         }
       }
       close();
+      exchange.firstByte(now);
       exchange.deliver(a, t.upstream.value());
     }
 
@@ -248,6 +252,7 @@
     private void failedCall(Try t, CallFailure failure, String reason) {
       active.remove(t);
       balancer.failed(t.upstream, timers.nanos());
+      metrics.callFailed("whole", failure.name());
       EventLog.log(
           LogEvent.CALL_FAILED, exchange.callerId(), exchange.name(), t.upstream, failure, reason);
       if (failure == CallFailure.NOT_SENT) {
--- a/gateway/src/main/java/org/mustardlatch/gateway/Exchange.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/Exchange.java
@@ -31,6 +31,7 @@
   private final GatewayRoute route;
   private final GatewayService service;
   private final UpstreamProtocol protocol;
+  private final GatewayMetrics metrics;
   private final long endNanos;
   private final long waitedNanos;
   private int possibleRuns;
@@ -42,12 +43,14 @@
       GatewayRoute route,
       GatewayService service,
       UpstreamProtocol protocol,
-      Duration usualPatience) {
+      Duration usualPatience,
+      GatewayMetrics metrics) {
     this.name = name;
     this.caller = caller;
     this.request = request;
     this.route = route;
     this.service = service;
+    this.metrics = metrics;
     this.protocol = protocol;
     long wait = route.timeout().toMillis();
     Long stated = request.deadlineMillis();
@@ -175,7 +178,13 @@
     return status;
   }
 
+  /** Takes note that the first byte of the answer leaves. */
+  void firstByte(long now) {
+    metrics.firstByte(route.kind(), now - caller.receivedNanos());
+  }
+
   void log(String outcome, @Nullable String detail, int status) {
+    metrics.ended(route.kind(), outcome, status);
     EventLog.log(
         LogEvent.REQUEST_ENDED,
         callerId(),
--- a/gateway/src/main/java/org/mustardlatch/gateway/Gateway.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/Gateway.java
@@ -43,9 +43,11 @@
   private final GenerationPath generations;
   private final CallerServer callers;
   private final PageServer pages;
+  private final @Nullable PageServer metricPages;
   private final CountDownLatch drained = new CountDownLatch(1);
   private final Map<String, Long> patienceMillis = new HashMap<>();
   private long requests;
+  private final GatewayMetrics metrics = new GatewayMetrics();
   private boolean draining;
   private boolean wasReady;
   private long drainStartNanos;
@@ -66,12 +68,22 @@
     this.protocol = protocol;
     this.peers = peers;
     this.random = random;
-    this.applications = new ApplicationPath(fleet, timers, settings, protocol, random);
+    this.applications = new ApplicationPath(fleet, timers, settings, protocol, random, metrics);
     this.generations =
-        new GenerationPath(fleet, timers, settings, protocol, random, peers, incarnation, loop);
+        new GenerationPath(
+            fleet, timers, settings, protocol, random, peers, incarnation, loop, metrics);
     this.callers = new CallerServer(loop, timers, settings.callerAddress(), this, this::limits);
     this.pages = new PageServer(loop, timers, settings.readinessAddress());
     pages.page(settings.readinessPath(), this::readiness);
+    InetSocketAddress metricsAddress = settings.metricsAddress();
+    this.metricPages = metricsAddress == null ? null : new PageServer(loop, timers, metricsAddress);
+    if (metricPages != null) {
+      metrics.gauge("mustardlatch.open.requests", () -> applications.open() + generations.open());
+      metrics.gauge("mustardlatch.upstreams", () -> fleet.all().size());
+      metricPages.page(
+          "/metrics",
+          () -> new PageServer.Page(200, "text/plain; version=0.0.4", metrics.scrape()));
+    }
   }
 
   /** Listens for callers and for the load balancer. */
@@ -80,6 +92,9 @@
     generations.start();
     callers.start();
     pages.start();
+    if (metricPages != null) {
+      metricPages.start();
+    }
     EventLog.log(LogEvent.GATEWAY_LISTENING, settings.callerAddress(), settings.readinessAddress());
   }
 
@@ -165,7 +180,14 @@
     }
     var exchange =
         new Exchange(
-            "r" + requests, caller, request, route, service, protocol, patience(route, request));
+            "r" + requests,
+            caller,
+            request,
+            route,
+            service,
+            protocol,
+            patience(route, request),
+            metrics);
     if (service.engine() != null && route.kind() == RequestKind.STREAMING) {
       generations.start(exchange);
     } else {
