--- a/gateway/src/main/java/org/mustardlatch/gateway/http/CallerConnection.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/http/CallerConnection.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -33,6 +34,8 @@
 import java.util.Queue;
 import org.jspecify.annotations.Nullable;
 import org.mustardlatch.core.time.TimerSubscription;
+import org.mustardlatch.gateway.log.EventLog;
+import org.mustardlatch.gateway.log.LogEvent;
 
 /** A caller's connection: one request at a time, those that follow wait. */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
@@ -198,7 +201,11 @@
     closing = true;
     current = null;
     // A reset, since an orderly close could be taken for the end of the answer.
-    channel.config().setOption(ChannelOption.SO_LINGER, 0);
+    try {
+      channel.config().setOption(ChannelOption.SO_LINGER, 0);
+    } catch (ChannelException e) {
+      EventLog.log(LogEvent.CALLER_CONNECTION_BROKEN, String.valueOf(e.getMessage()));
+    }
     var unused = channel.close();
   }
 
--- /dev/null
+++ b/gateway/src/test/java/org/mustardlatch/gateway/http/CallerConnectionTest.java
@@ -0,0 +1,70 @@
+package org.mustardlatch.gateway.http;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelConfig;
+import io.netty.channel.ChannelException;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.DefaultChannelConfig;
+import io.netty.channel.DefaultEventLoop;
+import io.netty.channel.EventLoop;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.mustardlatch.core.time.VirtualTimerService;
+import org.mustardlatch.gateway.config.CallerLimits;
+
+/** Guards against a caller's broken connection that disturbs the work for other callers. */
+class CallerConnectionTest {
+  /** A channel whose socket is gone, so that its options can't be set. */
+  private static final class BrokenSocket extends EmbeddedChannel {
+    @Override
+    public ChannelConfig config() {
+      return new DefaultChannelConfig(this) {
+        @Override
+        public <T> boolean setOption(ChannelOption<T> option, T value) {
+          if (ChannelOption.SO_LINGER.equals(option)) {
+            throw new ChannelException("socket is closed");
+          }
+          return super.setOption(option, value);
+        }
+      };
+    }
+  }
+
+  @Test
+  void breaksAnAnswerOffOnAConnectionThatIsBrokenAlready() {
+    List<CallerExchange> taken = new ArrayList<>();
+    CallerHandler handler =
+        new CallerHandler() {
+          @Override
+          public void request(CallerExchange exchange) {
+            taken.add(exchange);
+          }
+
+          @Override
+          public void left(CallerExchange exchange) {}
+        };
+    EventLoop loop = new DefaultEventLoop();
+    var server =
+        new CallerServer(
+            loop,
+            new VirtualTimerService(),
+            new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+            handler,
+            () -> CallerLimits.DEFAULT);
+    BrokenSocket channel = new BrokenSocket();
+    channel.pipeline().addLast(new RequestDecoder(1000), new CallerConnection(server, channel));
+    channel.writeInbound(
+        Unpooled.copiedBuffer("GET / HTTP/1.1\r\nHost: h\r\n\r\n", StandardCharsets.US_ASCII));
+
+    taken.getFirst().abort();
+
+    assertThat(channel.isOpen()).isFalse();
+  }
+}
