--- a/core/src/main/java/org/mustardlatch/core/balancing/Balancer.java
+++ b/core/src/main/java/org/mustardlatch/core/balancing/Balancer.java
@@ -77,11 +77,6 @@
     return c.distanceNanos() + s.serviceNanos * slowness * (1 + queued / c.slots());
   }
 
-  /** Returns the usual time that an upstream works on a request, nanoseconds. */
-  public double serviceNanos(UpstreamId id) {
-    return state(id).serviceNanos;
-  }
-
   /** Takes note that a request was sent. */
   public void sent(UpstreamId id) {
     state(id).inFlight++;
--- a/gateway/src/main/java/org/mustardlatch/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/GatewaySettings.java
@@ -23,7 +23,6 @@
  * @param peerSeeds addresses of peers to join through
  * @param repeatRatio repeats that the fleet may send to a service, for each request to it
  * @param repeatExtra repeats beyond that in one window, for the whole fleet
- * @param drainWindow time between the first sign that an upstream leaves and the last new work
  * @param grace time between a stop signal and the end of the process
  */
 public record GatewaySettings(
@@ -38,7 +37,6 @@
     List<String> peerSeeds,
     double repeatRatio,
     double repeatExtra,
-    Duration drainWindow,
     Duration grace) {
   /** Copies the map and checks that the zone has a region. */
   public GatewaySettings {
--- a/gateway/src/test/java/org/mustardlatch/gateway/RunningGateway.java
+++ b/gateway/src/test/java/org/mustardlatch/gateway/RunningGateway.java
@@ -60,7 +60,6 @@
             List.of(),
             0.2,
             40,
-            Duration.ofSeconds(2),
             Duration.ofSeconds(4));
     gateway =
         new Gateway(
