--- a/core/src/main/java/org/mustardlatch/core/balancing/RepeatBudget.java
+++ b/core/src/main/java/org/mustardlatch/core/balancing/RepeatBudget.java
@@ -6,7 +6,7 @@
  * keeps the fleet's bound without messages.
  */
 public final class RepeatBudget {
-  private final double capacity;
+  private double capacity;
   private double units;
 
   /**
@@ -29,6 +29,16 @@
     units = Math.min(capacity, units + fraction);
   }
 
+  /**
+   * Changes how many units are saved up; those beyond are lost.
+   *
+   * @param most at least 0
+   */
+  public void limit(double most) {
+    capacity = most;
+    units = Math.min(units, most);
+  }
+
   /** Takes one unit; returns false when there is none. */
   public boolean take() {
     if (units < 1) {
--- a/core/src/main/java/org/mustardlatch/core/routing/EntrySide.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/EntrySide.java
@@ -30,9 +30,11 @@
   /** KV caches with less time left than this are not given to another decode engine. */
   private static final long MIN_KV_LIFE_NANOS = 150_000_000;
 
-  // Eight nodes that each spend all that they saved stay within some tens of extra attempts.
+  // All nodes together stay within some tens of extra attempts when each spends what it saved.
+  private static final double FLEET_RETRY_UNITS = 48;
+  private static final int LEAST_NODES = 8;
+  private static final double MAX_RETRY_UNITS = FLEET_RETRY_UNITS / LEAST_NODES;
   private static final double RETRY_UNITS = 4;
-  private static final double MAX_RETRY_UNITS = 6;
 
   private static final int MAX_RESERVATION_REFUSALS = 6;
   static final int MAX_ATTEMPTS = 8;
@@ -94,6 +96,8 @@
     driver.topologyChanged(next);
     starter.topologyChanged(next);
     chooser.keep(next);
+    // Below one unit nothing could ever be repeated.
+    retries.limit(Math.max(1, FLEET_RETRY_UNITS / Math.max(LEAST_NODES, next.memberCount())));
     Manifest manifest = settings.manifest();
     if (manifest != null) {
       crossing.configure(manifest.link(), next.membersIn(region));
--- a/core/src/main/java/org/mustardlatch/core/routing/Topology.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/Topology.java
@@ -106,6 +106,11 @@
     return members.values();
   }
 
+  /** Returns the number of live nodes. */
+  int memberCount() {
+    return members.size();
+  }
+
   /** Returns the number of live nodes in a region. */
   int membersIn(RegionId region) {
     return (int) members.values().stream().filter(m -> m.region().equals(region)).count();
--- a/gateway/src/main/java/org/mustardlatch/gateway/ApplicationPath.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/ApplicationPath.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
@@ -46,6 +47,7 @@
   private final Map<CallerExchange, Run> runs = new HashMap<>();
   private final UpstreamProtocol protocol;
   private final GatewayMetrics metrics;
+  private final IntSupplier nodes;
 
   ApplicationPath(
       Fleet fleet,
@@ -53,7 +55,9 @@
       GatewaySettings settings,
       UpstreamProtocol protocol,
       RandomGenerator random,
-      GatewayMetrics metrics) {
+      GatewayMetrics metrics,
+      IntSupplier nodes) {
+    this.nodes = nodes;
     this.metrics = metrics;
     this.fleet = fleet;
     this.timers = timers;
@@ -85,7 +89,7 @@
   }
 
   private RepeatBudget budget(String service) {
-    return budgets.computeIfAbsent(service, s -> Budgets.ofNode(settings));
+    return budgets.computeIfAbsent(service, s -> Budgets.ofNode(settings, nodes.getAsInt()));
   }
 
   private List<Candidate> candidates(Run run) {
--- a/gateway/src/main/java/org/mustardlatch/gateway/Budgets.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/Budgets.java
@@ -6,17 +6,23 @@
 
 /** Shares of fleet-wide budgets, and when refused callers come back. */
 final class Budgets {
-  // Usual number of nodes of a fleet; each starts with an equal part of the extra repeats.
-  private static final double USUAL_NODES = 10;
+  // Each node has an equal part of the extra repeats; one that sees few others may be cut off.
+  private static final int LEAST_NODES = 10;
   // Callers heed a time of up to a third of what they have left.
   private static final double HEEDED_PART = 3.2;
   private static final long MIN_COME_BACK_MILLIS = 20;
 
   private Budgets() {}
 
-  static RepeatBudget ofNode(GatewaySettings settings) {
-    double units = Math.max(1, settings.repeatExtra() / USUAL_NODES);
-    return new RepeatBudget(units / 2, units);
+  /**
+   * Returns the part of a node.
+   *
+   * @param nodes live nodes of the fleet as far as this one knows
+   */
+  static RepeatBudget ofNode(GatewaySettings settings, int nodes) {
+    double units = settings.repeatExtra() / Math.max(LEAST_NODES, nodes);
+    // Below one unit nothing could ever be repeated.
+    return new RepeatBudget(units / 2, Math.max(1, units));
   }
 
   /** Returns a time that spreads the return of refused callers over what they have left. */
--- a/gateway/src/main/java/org/mustardlatch/gateway/Gateway.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/Gateway.java
@@ -68,7 +68,9 @@
     this.protocol = protocol;
     this.peers = peers;
     this.random = random;
-    this.applications = new ApplicationPath(fleet, timers, settings, protocol, random, metrics);
+    this.applications =
+        new ApplicationPath(
+            fleet, timers, settings, protocol, random, metrics, () -> peers.members().size());
     this.generations =
         new GenerationPath(
             fleet, timers, settings, protocol, random, peers, incarnation, loop, metrics);
