Use decode engines that look slow when the others are full; count KV memory as room

One transfer that waited for a prompt that the engine was reading made its transfer pace three times the median; from then on it was closed until it had no stream left and a probe was due. Besides, the room of a cell was counted in slots alone, 64 an engine there, so a cell whose KV memory was full looked free: requests were sent to it and waited until their deadline instead of being refused or sent to the other region.

Ruled out: a shortage of decode engines.

Now such an engine is taken when no other has room, if its tokens come in time and the first token is predicted within 0.6 of the time left; room and predicted wait count memory at the usual size of a request.

--- a/core/src/main/java/org/mustardlatch/core/routing/CellAdmission.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/CellAdmission.java
@@ -49,6 +49,7 @@
   private static final int MAX_DOUBLINGS = 4;
   private static final long FAILURE_BLOCK_NANOS = 1_000_000_000L;
   private static final long REFUSAL_BLOCK_NANOS = 150_000_000L;
+  private static final double NEWEST_SIZE_WEIGHT = 0.1;
   // Only until departures were observed: a slot is held for about 10 s.
   private static final double INITIAL_DEPARTURES_PER_SLOT = 0.1;
 
@@ -78,6 +79,7 @@
   private @Nullable CellSummary summary;
   private long summaryNanos;
   private long idleSinceNanos;
+  private double usualPieces;
 
   CellAdmission(Cell cell, Environment env, CrashListener crashes, LeavingUpstreams leaving) {
     this.cell = cell;
@@ -117,7 +119,7 @@
     long now = fx.now();
     CellSummary known = summary;
     if (known == null || now - summaryNanos >= SUMMARY_AGE_NANOS) {
-      int free = Math.max(0, placer.freeDecodeSlots(now) - queue.size());
+      int free = Math.max(0, freeDecodeSlots() - queue.size());
       known = new CellSummary(cell.name(), free, predictedWait(null));
       summary = known;
       summaryNanos = now;
@@ -137,6 +139,7 @@
       sendQueued(ask);
       return;
     }
+    learnSize(ask);
     if (evidence.standing(ask.fingerprint(), fx.now()) == Standing.QUARANTINED) {
       refuse(ask, ErrorCode.REQUEST_QUARANTINED, Duration.ZERO);
       return;
@@ -359,7 +362,7 @@
     return ask.source() == null
         && p.nominalNanos() > ask.budgetNanos() * (1 - settings.tuning().deadlineMargin())
         && queue.size() <= 1
-        && 2 * placer.freeDecodeSlots(fx.now()) > placer.usableDecodeSlots(fx.now());
+        && 2 * freeDecodeSlots() > usableDecodeSlots();
   }
 
   private void grant(Ask ask, Placer.Placement p, boolean suspect) {
@@ -555,6 +558,21 @@
     pump();
   }
 
+  private void learnSize(Ask ask) {
+    int pieces = ask.decodePieces(cell.model().memoryPieceTokens());
+    usualPieces =
+        usualPieces == 0 ? pieces : usualPieces + NEWEST_SIZE_WEIGHT * (pieces - usualPieces);
+  }
+
+  /** Returns the requests of the usual size that there is room for: slots and KV memory count. */
+  private int freeDecodeSlots() {
+    return placer.freeDecodeSlots((int) usualPieces, fx.now());
+  }
+
+  private int usableDecodeSlots() {
+    return placer.usableDecodeSlots((int) usualPieces, fx.now());
+  }
+
   private long shortestService(Ask ask) {
     double rate = 0;
     for (EngineState e : placer.prefills()) {
@@ -575,18 +593,18 @@
       return Long.MAX_VALUE / 4;
     }
     long prefillWait = next + (long) (tokens / rate);
-    int missing = queue.size() + 1 - placer.freeDecodeSlots(now);
+    int missing = queue.size() + 1 - freeDecodeSlots();
     if (missing <= 0) {
       return prefillWait;
     }
-    double initial = INITIAL_DEPARTURES_PER_SLOT * Math.max(1, placer.usableDecodeSlots(now));
+    double initial = INITIAL_DEPARTURES_PER_SLOT * Math.max(1, usableDecodeSlots());
     return Math.max(prefillWait, (long) (missing * 1e9 / departures.perSecond(now, initial)));
   }
 
   private void refuseOverloaded(Ask ask) {
     long budget = Math.max(1, ask.budgetNanos());
     Duration after = spread.draw(summary().predictedWaitNanos(), budget);
-    boolean none = placer.usableDecodeSlots(fx.now()) == 0;
+    boolean none = usableDecodeSlots() == 0;
     refuse(ask, none ? ErrorCode.UPSTREAM_UNAVAILABLE : ErrorCode.OVERLOADED, after);
   }
 
--- a/core/src/main/java/org/mustardlatch/core/routing/EngineState.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/EngineState.java
@@ -85,6 +85,23 @@
     return Math.min(half, freeSlots());
   }
 
+  /** Returns how many more requests of {@code pieces} of KV memory it has room for. */
+  int freeFor(int pieces) {
+    int free = freeSlots();
+    if (upstream.memoryPieces() == 0) {
+      return free;
+    }
+    return Math.clamp((upstream.memoryPieces() - heldPieces) / Math.max(1, pieces), 0, free);
+  }
+
+  /** Returns how many requests of {@code pieces} of KV memory it holds when empty, at least 1. */
+  int capacityFor(int pieces) {
+    int slots = upstream.slots();
+    return upstream.memoryPieces() == 0
+        ? slots
+        : Math.clamp(upstream.memoryPieces() / Math.max(1, pieces), 1, slots);
+  }
+
   boolean hasMemory(int pieces) {
     return upstream.memoryPieces() == 0 || heldPieces + pieces <= upstream.memoryPieces();
   }
--- a/core/src/main/java/org/mustardlatch/core/routing/Placer.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/Placer.java
@@ -21,6 +21,8 @@
   private static final double WHOLE_BUDGET_SHARE = 0.6;
   // A single slow transfer must not make an engine look useless for all requests.
   private static final double MAX_TRANSFER_RATIO = 3;
+  // An engine that is believed slow must leave this much of the time as a margin for the belief.
+  private static final double STRAGGLER_BUDGET_SHARE = 0.6;
   private static final long MEDIAN_AGE_NANOS = 50_000_000;
 
   private final Cell cell;
@@ -94,7 +96,7 @@
       Ask ask, boolean suspect, LinkEstimate link, boolean handover, long now) {
     refreshMedians(now);
     if (ask.source() != null) {
-      EngineState d = decode(ask, null, suspect, link, handover, now);
+      EngineState d = decode(ask, null, 0, suspect, link, handover, now);
       return d == null ? null : new Placement(null, d, 0, 0, afterPrefill(ask, d, link));
     }
     Placement split = placeSplit(ask, suspect, link, handover, now);
@@ -107,7 +109,7 @@
    */
   private @Nullable Placement placeWhole(
       Ask ask, boolean suspect, LinkEstimate link, boolean handover, long now) {
-    EngineState d = decode(ask, null, suspect, link, handover, now);
+    EngineState d = decode(ask, null, 0, suspect, link, handover, now);
     if (d == null || d.upstream.role() != UpstreamRole.DECODE_WITH_PROMPT) {
       return null;
     }
@@ -148,11 +150,11 @@
     if (best == null) {
       return null;
     }
-    EngineState d = decode(ask, best, suspect, link, handover, now);
+    long finish = best.backlogNanos(now) + (long) (bestNominal * best.prefillRatio(now));
+    EngineState d = decode(ask, best, finish, suspect, link, handover, now);
     if (d == null) {
       return null;
     }
-    long finish = best.backlogNanos(now) + (long) (bestNominal * best.prefillRatio(now));
     long first = finish + (d == best ? 0 : afterPrefill(ask, d, link));
     return new Placement(best, d, bestNominal, finish, first);
   }
@@ -204,15 +206,25 @@
         && e.probes.due(now);
   }
 
+  /**
+   * Returns the best decode engine that has room, or null. An engine that looks slow takes part as
+   * a probe, or when no other has room and the first token is in time there nevertheless: slow
+   * transfers are often seen because the engine was busy with a prompt for a moment.
+   *
+   * @param readyNanos predicted time from now until the KV cache exists
+   */
   private @Nullable EngineState decode(
       Ask ask,
       @Nullable EngineState prefill,
+      long readyNanos,
       boolean suspect,
       LinkEstimate link,
       boolean handover,
       long now) {
     EngineState best = null;
     double bestScore = Double.MAX_VALUE;
+    EngineState bestStraggler = null;
+    double bestStragglerScore = Double.MAX_VALUE;
     for (EngineState e : decodes) {
       if (!e.usable(leaving, now) || excluded(e, ask, decodes, now)) {
         continue;
@@ -224,7 +236,11 @@
       double slowness = slowness(e);
       boolean straggler = slowness > STRAGGLER_RATIO;
       if (straggler && (e.heldSlots > 0 || !e.probes.due(now))) {
-        // The streams that it has tell when it recovers.
+        double score = score(e, ask, prefill, link, slowness);
+        if (score < bestStragglerScore && inTime(e, ask, readyNanos, link, now)) {
+          bestStraggler = e;
+          bestStragglerScore = score;
+        }
         continue;
       }
       double score = straggler ? 0 : score(e, ask, prefill, link, slowness);
@@ -233,7 +249,15 @@
         bestScore = score;
       }
     }
-    return best;
+    return best == null ? bestStraggler : best;
+  }
+
+  /** Returns whether a decode engine, as slow as it was seen to be, meets the targets. */
+  private boolean inTime(EngineState e, Ask ask, long readyNanos, LinkEstimate link, long now) {
+    long bytes = cell.model().kvBytesPerToken() * ask.promptTokens();
+    double first = readyNanos + link.transferNanos(bytes) * e.transferPace.ratio();
+    long left = ask.firstTokenDeadlineNanos() - now;
+    return e.tokenPace.ratio() <= 1 && first <= STRAGGLER_BUDGET_SHARE * left;
   }
 
   private double score(
@@ -356,18 +380,20 @@
     return best;
   }
 
-  int freeDecodeSlots(long now) {
+  /** Returns the requests of {@code pieces} of KV memory that decode engines have room for. */
+  int freeDecodeSlots(int pieces, long now) {
     int sum = 0;
     for (EngineState e : decodes) {
-      sum += e.usableSoon(leaving, now) ? e.freeSlots() : 0;
+      sum += e.usableSoon(leaving, now) ? e.freeFor(pieces) : 0;
     }
     return sum;
   }
 
-  int usableDecodeSlots(long now) {
+  /** Returns the requests of {@code pieces} of KV memory that empty decode engines hold. */
+  int usableDecodeSlots(int pieces, long now) {
     int sum = 0;
     for (EngineState e : decodes) {
-      sum += e.usableSoon(leaving, now) ? e.upstream.slots() : 0;
+      sum += e.usableSoon(leaving, now) ? e.capacityFor(pieces) : 0;
     }
     return sum;
   }
