Log the first event and the longest pause of every delivered stream

Cause: a stream that is late by a pause could not be told from one whose first event was late; on-call engineers would have had to guess, and so did we.

Most of them are 300 to 480 ms and strike several streams of one engine at once, while the engine reads a prompt (of its own, or again after a preemption).

--- a/gateway/src/main/java/org/mustardlatch/gateway/EngineCalls.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/EngineCalls.java
@@ -345,6 +345,7 @@
       pass(a, stream.events.add(part));
       int count = stream.events.events() - before;
       if (count > 0) {
+        stream.times.passed(count, timers.nanos());
         post(new RoutingEvent.TokensArrived(attempt, count));
       }
     }
--- a/gateway/src/main/java/org/mustardlatch/gateway/GatewayMetrics.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/GatewayMetrics.java
@@ -22,6 +22,8 @@
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
   private final Map<String, Counter> counters = new HashMap<>();
   private final Map<RequestKind, Timer> firstBytes = new HashMap<>();
+  private final Timer longestPauses =
+      histogram("mustardlatch.stream.longest.pause").register(registry);
 
   /** Creates metrics that count from zero. */
   public GatewayMetrics() {}
@@ -41,18 +43,17 @@
     count("mustardlatch.requests", "kind", lower(kind), "outcome", outcome, "status", "" + status);
   }
 
+  /** Takes note of the longest pause between the events of a complete stream. */
+  void longestPause(long nanos) {
+    longestPauses.record(Duration.ofNanos(nanos));
+  }
+
   /** Takes note of the time from a request to the first byte of its answer. */
   void firstByte(RequestKind kind, long nanos) {
     firstBytes
         .computeIfAbsent(
             kind,
-            k ->
-                Timer.builder("mustardlatch.first.byte")
-                    .tag("kind", lower(k))
-                    .publishPercentileHistogram()
-                    .minimumExpectedValue(SHORTEST)
-                    .maximumExpectedValue(LONGEST)
-                    .register(registry))
+            k -> histogram("mustardlatch.first.byte").tag("kind", lower(k)).register(registry))
         .record(Duration.ofNanos(nanos));
   }
 
@@ -66,6 +67,13 @@
     count("mustardlatch.calls.failed", "part", part, "failure", failure);
   }
 
+  private static Timer.Builder histogram(String name) {
+    return Timer.builder(name)
+        .publishPercentileHistogram()
+        .minimumExpectedValue(SHORTEST)
+        .maximumExpectedValue(LONGEST);
+  }
+
   private void count(String name, String... tags) {
     counters
         .computeIfAbsent(
--- a/gateway/src/main/java/org/mustardlatch/gateway/GenerationPath.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/GenerationPath.java
@@ -231,6 +231,8 @@
     GenerationStream s = streams.get(id);
     if (s != null) {
       forget(s);
+      s.logTimes();
+      metrics.longestPause(s.times.longestPauseNanos());
       s.exchange.log("completed", null, SUCCESS);
       s.exchange.caller().end();
     }
--- a/gateway/src/main/java/org/mustardlatch/gateway/GenerationStream.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/GenerationStream.java
@@ -12,6 +12,7 @@
   final Exchange exchange;
   final RequestId id;
   final EventStream events = new EventStream();
+  final StreamTimes times;
 
   /** The last failure that an upstream itself answered; null for none. */
   @Nullable UpstreamAnswer failed;
@@ -19,6 +20,7 @@
   GenerationStream(Exchange exchange) {
     this.exchange = exchange;
     this.id = new RequestId(exchange.name());
+    this.times = new StreamTimes(exchange.caller().receivedNanos());
   }
 
   UpstreamCallPlan plan(Instance target, UpstreamCallPlan.Work work, @Nullable String reservation) {
@@ -26,6 +28,17 @@
     return new UpstreamCallPlan(target, Math.max(1, left), work, events.lastId(), reservation);
   }
 
+  /** Logs when the events of a complete stream went to the caller. */
+  void logTimes() {
+    EventLog.log(
+        LogEvent.STREAM_DELIVERED,
+        exchange.callerId(),
+        times.events(),
+        times.firstMillis(),
+        times.longestPauseNanos() / 1_000_000,
+        times.longestPauseAfter());
+  }
+
   void logSent(Instance target, String stage, AttemptId attempt) {
     EventLog.log(
         LogEvent.STAGE_SENT,
--- a/gateway/src/main/java/org/mustardlatch/gateway/log/LogEvent.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/log/LogEvent.java
@@ -55,6 +55,10 @@
       8031,
       Level.INFO,
       "request={} name={} route={} prompt_tokens={} max_output={} hint={} late={} waited_ms={}"),
+  STREAM_DELIVERED(
+      8033,
+      Level.INFO,
+      "request={} events={} first_event_ms={} longest_pause_ms={} longest_pause_after={}"),
   CALLER_CONNECTION_BROKEN(8032, Level.INFO, "caller connection was broken already reason={}"),
   OBJECT_UNREADABLE(8019, Level.WARN, "object kind={} name={} unreadable reason={}"),
   SETTINGS_CHANGED(8029, Level.INFO, "reload asked for; settings are read at the next start"),
