Process prompts on decode engines only where no prefill engine can be used

Cause: a prompt that a decode engine processes itself delays every other stream there; events of 12 tokens then come 230 ms apart and beyond 300 ms under a noisy neighbour.

Now a decode engine does this only while no prefill engine of its cell is usable; a region without any asks the other region first, and is asked by it only as a last resort.

NodeRouterTest has the region without prefill engines; it failed before.

--- a/core/src/main/java/org/mustardlatch/core/routing/AttemptStarter.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/AttemptStarter.java
@@ -99,7 +99,10 @@
       cross(q, ErrorCode.UPSTREAM_UNAVAILABLE, EntrySide.LATER);
       return;
     }
-    launch(q, cell, null);
+    boolean crosses = !cell.hasPrefillEngine() && !q.askedRemote;
+    Cell remote = crosses ? crossing.open(q, topology, Cell::hasPrefillEngine) : null;
+    q.askedRemote |= remote != null;
+    launch(q, remote == null ? cell : remote, null);
   }
 
   void launch(EntryRequest q, Cell cell, @Nullable KvHandle inherited) {
@@ -116,7 +119,8 @@
 
   /** Asks the other region when the local cells refused, or gives up. */
   private void cross(EntryRequest q, ErrorCode code, Duration retryAfter) {
-    Cell cell = q.attempts() < EntrySide.MAX_ATTEMPTS ? crossing.open(q, topology) : null;
+    Cell cell =
+        q.attempts() < EntrySide.MAX_ATTEMPTS ? crossing.open(q, topology, c -> true) : null;
     if (cell != null) {
       launch(q, cell, null);
     } else {
@@ -132,7 +136,7 @@
     if (!isLong || !local || q.askedRemote || q.hedge != null || q.tokensSent > 0) {
       return;
     }
-    Cell cell = crossing.open(q, topology);
+    Cell cell = crossing.open(q, topology, Cell::hasPrefillEngine);
     if (cell != null) {
       q.askedRemote = true;
       Attempt remote = new Attempt(q.nextAttempt(), cell, null);
--- a/core/src/main/java/org/mustardlatch/core/routing/Cell.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/Cell.java
@@ -15,4 +15,9 @@
   Cell {
     engines = List.copyOf(engines);
   }
+
+  /** Returns whether an engine that stays has prompts as its work. */
+  boolean hasPrefillEngine() {
+    return engines.stream().anyMatch(e -> e.role().prefills() && !e.leaving());
+  }
 }
--- a/core/src/main/java/org/mustardlatch/core/routing/CellChooser.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/CellChooser.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
 import org.mustardlatch.core.model.ModelId;
@@ -44,13 +45,14 @@
     return better(topology, candidates(topology.cells(model, region), refused));
   }
 
-  /** Returns a cell of another region that may have room, or null. */
-  @Nullable Cell remote(Topology topology, ModelId model, Set<String> refused, long now) {
+  /** Returns a cell of another region that fits and may have room, or null. */
+  @Nullable Cell remote(
+      Topology topology, ModelId model, Set<String> refused, Predicate<Cell> fits, long now) {
     List<Cell> cells = new ArrayList<>();
     for (RegionId other : topology.regions()) {
       if (!other.equals(region)) {
         for (Cell c : candidates(topology.cells(model, other), refused)) {
-          if (mayHaveRoom(c, now) && !topology.owners(c).isEmpty()) {
+          if (fits.test(c) && mayHaveRoom(c, now) && !topology.owners(c).isEmpty()) {
             cells.add(c);
           }
         }
--- a/core/src/main/java/org/mustardlatch/core/routing/Crossing.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/Crossing.java
@@ -1,5 +1,6 @@
 package org.mustardlatch.core.routing;
 
+import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
 import org.mustardlatch.core.manifest.CrossRegionLink;
 
@@ -22,9 +23,13 @@
     budget.configure(link, nodes);
   }
 
-  /** Returns a cell of another region and takes the bytes from the budget, or returns null. */
-  @Nullable Cell open(EntryRequest q, Topology topology) {
-    Cell cell = chooser.remote(topology, q.request.model(), q.refusedCells, fx.now());
+  /**
+   * Returns a cell of another region and takes the bytes from the budget, or returns null.
+   *
+   * @param fits tells the cells that are worth a crossing
+   */
+  @Nullable Cell open(EntryRequest q, Topology topology, Predicate<Cell> fits) {
+    Cell cell = chooser.remote(topology, q.request.model(), q.refusedCells, fits, fx.now());
     if (cell == null) {
       return null;
     }
--- a/core/src/main/java/org/mustardlatch/core/routing/Placer.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/Placer.java
@@ -17,8 +17,6 @@
   private static final double PROBE_BUDGET_SHARE = 0.2;
   // Links between availability zones carry a KV cache at about half the rate of those within one.
   private static final long CROSS_ZONE_NANOS = 10_000_000;
-  // Prompts that decode engines process slow down their streams, so waiting comes first.
-  private static final double WHOLE_BUDGET_SHARE = 0.6;
   // A single slow transfer must not make an engine look useless for all requests.
   private static final double MAX_TRANSFER_RATIO = 3;
   // An engine that is believed slow must leave this much of the time as a margin for the belief.
@@ -104,20 +102,20 @@
   }
 
   /**
-   * Returns a decode engine that processes the prompt itself, or null. It takes time from the
-   * streams that the engine has, so it is chosen only when it is sooner than the prefill engines.
+   * Returns a decode engine that processes the prompt itself, or null. Every other stream of that
+   * engine pauses meanwhile, so it is chosen only where no prefill engine can be used.
    */
   private @Nullable Placement placeWhole(
       Ask ask, boolean suspect, LinkEstimate link, boolean handover, long now) {
     EngineState d = decode(ask, null, 0, suspect, link, handover, now);
-    if (d == null || d.upstream.role() != UpstreamRole.DECODE_WITH_PROMPT) {
+    if (d == null
+        || d.upstream.role() != UpstreamRole.DECODE_WITH_PROMPT
+        || prefills.stream().anyMatch(e -> e.usableSoon(leaving, now))) {
       return null;
     }
     long nominal = d.nominalPrefillNanos(ask.promptTokens(), ask.prefixBlocks());
     long finish = d.backlogNanos(now) + nominal;
-    double waiting = finishAfterWaiting(ask, now);
-    boolean inTime = waiting <= Math.max((double) finish, WHOLE_BUDGET_SHARE * ask.budgetNanos());
-    return inTime ? null : new Placement(d, d, nominal, finish, finish);
+    return new Placement(d, d, nominal, finish, finish);
   }
 
   private @Nullable Placement placeSplit(
--- a/core/src/test/java/org/mustardlatch/core/routing/NodeRouterTest.java
+++ b/core/src/test/java/org/mustardlatch/core/routing/NodeRouterTest.java
@@ -14,11 +14,13 @@
 import org.mustardlatch.core.manifest.Manifest;
 import org.mustardlatch.core.manifest.Model;
 import org.mustardlatch.core.manifest.Objective;
+import org.mustardlatch.core.manifest.Upstream;
 import org.mustardlatch.core.manifest.UpstreamRole;
 import org.mustardlatch.core.model.AttemptId;
 import org.mustardlatch.core.model.HostId;
 import org.mustardlatch.core.model.RequestId;
 import org.mustardlatch.core.model.UpstreamId;
+import org.mustardlatch.core.peer.AdmissionMessage.Reserve;
 
 class NodeRouterTest {
   private final List<RoutingCommand> commands = new ArrayList<>();
@@ -329,6 +331,46 @@
         .contains("cross_region");
   }
 
+  @Test
+  void asksTheOtherRegionFirstWhenItsOwnHasLostItsPrefillEngines() {
+    List<Upstream> engines = new ArrayList<>(Fixtures.pools(2, 2));
+    engines.add(Fixtures.engine("b0", UpstreamRole.DECODE_WITH_PROMPT, "bergen-a", 20));
+    NodeRouter bergen = bergenNode(engines);
+    bergen.handle(
+        new RoutingEvent.RequestArrived(Fixtures.request("r1", 2000, now)), now, commands::add);
+
+    assertThat(last(RoutingCommand.SendPeer.class).to()).isEqualTo(Fixtures.host(0));
+    assertThat(last(RoutingCommand.SendPeer.class).message()).isInstanceOf(Reserve.class);
+  }
+
+  @Test
+  void processesPromptsOnDecodeEnginesWhenNoRegionHasPrefillEngines() {
+    NodeRouter bergen =
+        bergenNode(
+            List.of(
+                Fixtures.engine("d0", UpstreamRole.DECODE_WITH_PROMPT, "oslo-a", 20),
+                Fixtures.engine("b0", UpstreamRole.DECODE_WITH_PROMPT, "bergen-a", 20)));
+    bergen.handle(
+        new RoutingEvent.RequestArrived(Fixtures.request("r1", 2000, now)), now, commands::add);
+
+    assertThat(last(RoutingCommand.StartPrefill.class).upstream()).isEqualTo(new UpstreamId("b0"));
+  }
+
+  private NodeRouter bergenNode(List<Upstream> engines) {
+    NodeRouter bergen =
+        new NodeRouter(Fixtures.host(1), Fixtures.BERGEN, 1, new SplittableRandom(1));
+    bergen.handle(
+        new RoutingEvent.MembersChanged(
+            List.of(Fixtures.member(0, OSLO), Fixtures.member(1, Fixtures.BERGEN))),
+        now,
+        commands::add);
+    bergen.handle(
+        new RoutingEvent.ManifestApplied(1, Fixtures.manifest(Objective.CREST_AVERSE, engines)),
+        now,
+        commands::add);
+    return bergen;
+  }
+
   @Test
   void refusesToCrossWithoutByteBudget() {
     NodeRouter remote =
