Collect whole answers in one listener and write errors in one place

Cause: four listeners collected head and body of an answer on their own, and two places wrote the JSON of an error, of which one did not replace quotation marks in its message. Two values of the configuration and of a request's headers were read and never used.

Now CollectedAnswer serves reservations, prefills, releases, application requests and the store, and ErrorAnswer every error of this node. Behaviour is unchanged; tests of gateway, platform and daemon pass.

--- a/gateway/src/main/java/org/mustardlatch/gateway/ApplicationPath.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/ApplicationPath.java
@@ -1,7 +1,5 @@
 package org.mustardlatch.gateway;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.HttpResponse;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -23,8 +21,9 @@
 import org.mustardlatch.gateway.config.Instance;
 import org.mustardlatch.gateway.http.Call;
 import org.mustardlatch.gateway.http.CallFailure;
-import org.mustardlatch.gateway.http.CallListener;
 import org.mustardlatch.gateway.http.CallerExchange;
+import org.mustardlatch.gateway.http.CollectedAnswer;
+import org.mustardlatch.gateway.http.UpstreamAnswer;
 import org.mustardlatch.gateway.log.EventLog;
 import org.mustardlatch.gateway.log.LogEvent;
 
@@ -277,10 +276,9 @@
     }
 
     /** One call of the request. */
-    private final class Try implements CallListener {
+    private final class Try extends CollectedAnswer {
       private final UpstreamId upstream;
       private final long sentNanos;
-      private @Nullable UpstreamAnswer answer;
       private @Nullable Call call;
 
       Try(UpstreamId upstream, long sentNanos) {
@@ -294,23 +292,8 @@
       }
 
       @Override
-      public void head(HttpResponse h) {
-        answer = new UpstreamAnswer(h);
-      }
-
-      @Override
-      public void body(ByteBuf part) {
-        if (answer != null) {
-          answer.add(part);
-        }
-      }
-
-      @Override
-      public void end() {
-        UpstreamAnswer a = answer;
-        if (a != null) {
-          answered(this, a);
-        }
+      protected void answered(UpstreamAnswer answer) {
+        Run.this.answered(this, answer);
       }
 
       @Override
--- a/gateway/src/main/java/org/mustardlatch/gateway/CallerRequest.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/CallerRequest.java
@@ -8,7 +8,6 @@
  *
  * @param id the caller's id of this attempt; null when it sent none
  * @param deadlineMillis time that the caller will wait, milliseconds; null when it did not say
- * @param model name of the model; null for a request that is no generation
  * @param promptTokens length of the prompt, tokens
  * @param maxOutputTokens most tokens to generate
  * @param lengthHint tokens that the caller expects to be generated; 0 when it did not say
@@ -17,7 +16,6 @@
 public record CallerRequest(
     @Nullable String id,
     @Nullable Long deadlineMillis,
-    @Nullable String model,
     int promptTokens,
     int maxOutputTokens,
     int lengthHint,
--- a/gateway/src/main/java/org/mustardlatch/gateway/EngineCalls.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/EngineCalls.java
@@ -23,6 +23,8 @@
 import org.mustardlatch.gateway.http.CallListener;
 import org.mustardlatch.gateway.http.CallRequest;
 import org.mustardlatch.gateway.http.CallerExchange;
+import org.mustardlatch.gateway.http.CollectedAnswer;
+import org.mustardlatch.gateway.http.UpstreamAnswer;
 import org.mustardlatch.gateway.log.EventLog;
 import org.mustardlatch.gateway.log.LogEvent;
 
@@ -157,11 +159,10 @@
   private record Reserved(Instance engine, String name) {}
 
   /** Hears whether an engine keeps room for an attempt. */
-  private final class ReservationAnswer implements CallListener {
+  private final class ReservationAnswer extends CollectedAnswer {
     private final AttemptId attempt;
     private final GenerationStream stream;
     private final Instance engine;
-    private @Nullable UpstreamAnswer answer;
 
     ReservationAnswer(AttemptId attempt, GenerationStream stream, Instance engine) {
       this.attempt = attempt;
@@ -170,23 +171,10 @@
     }
 
     @Override
-    public void head(HttpResponse h) {
-      answer = new UpstreamAnswer(h);
-    }
-
-    @Override
-    public void body(ByteBuf part) {
-      if (answer != null) {
-        answer.add(part);
-      }
-    }
-
-    @Override
-    public void end() {
+    protected void answered(UpstreamAnswer a) {
       calls.remove(attempt);
-      UpstreamAnswer a = answer;
-      if (a == null || a.status() != SUCCESS) {
-        refused("status " + (a == null ? 0 : a.status()), Failure.REFUSED);
+      if (a.status() != SUCCESS) {
+        refused("status " + a.status(), Failure.REFUSED);
         return;
       }
       try {
@@ -217,12 +205,11 @@
   }
 
   /** Collects the answer to a prefill. */
-  private final class PrefillAnswer implements CallListener {
+  private final class PrefillAnswer extends CollectedAnswer {
     private final AttemptId attempt;
     private final GenerationStream stream;
     private final Instance source;
     private final long sentNanos = timers.nanos();
-    private @Nullable UpstreamAnswer answer;
 
     PrefillAnswer(AttemptId attempt, GenerationStream stream, Instance source) {
       this.attempt = attempt;
@@ -231,25 +218,11 @@
     }
 
     @Override
-    public void head(HttpResponse h) {
-      answer = new UpstreamAnswer(h);
-    }
-
-    @Override
-    public void body(ByteBuf part) {
-      if (answer != null) {
-        answer.add(part);
-      }
-    }
-
-    @Override
-    public void end() {
+    protected void answered(UpstreamAnswer a) {
       calls.remove(attempt);
-      UpstreamAnswer a = answer;
-      if (a == null || a.status() != SUCCESS) {
-        boolean notRun = a != null && protocol.read(a.head()).notRun();
-        int status = a == null ? 0 : a.status();
-        logFailed("prefill status " + status);
+      if (a.status() != SUCCESS) {
+        boolean notRun = protocol.read(a.head()).notRun();
+        logFailed("prefill status " + a.status());
         dropReservation(attempt);
         post(
             new RoutingEvent.PrefillFailed(
@@ -416,7 +389,7 @@
   }
 
   /** Takes note when a KV cache could not be freed; it expires by itself. */
-  private static final class ReleaseAnswer implements CallListener {
+  private static final class ReleaseAnswer extends CollectedAnswer {
     private final String name;
     private final String engine;
 
@@ -426,13 +399,7 @@
     }
 
     @Override
-    public void head(HttpResponse head) {}
-
-    @Override
-    public void body(ByteBuf part) {}
-
-    @Override
-    public void end() {}
+    protected void answered(UpstreamAnswer answer) {}
 
     @Override
     public void failed(CallFailure failure, String reason) {
--- a/gateway/src/main/java/org/mustardlatch/gateway/Exchange.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/Exchange.java
@@ -5,11 +5,8 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.Locale;
 import org.jspecify.annotations.Nullable;
 import org.mustardlatch.core.error.ErrorCode;
 import org.mustardlatch.gateway.config.GatewayRoute;
@@ -17,6 +14,7 @@
 import org.mustardlatch.gateway.http.CallRequest;
 import org.mustardlatch.gateway.http.CallerExchange;
 import org.mustardlatch.gateway.http.HopByHop;
+import org.mustardlatch.gateway.http.UpstreamAnswer;
 import org.mustardlatch.gateway.log.EventLog;
 import org.mustardlatch.gateway.log.LogEvent;
 
@@ -24,6 +22,7 @@
 final class Exchange {
   // Callers of a route differ in how long they wait; only a shorter time shows a second attempt.
   private static final double LEAST_PATIENCE = 0.85;
+  private static final int SERVICE_UNAVAILABLE = 503;
 
   private final String name;
   private final CallerExchange caller;
@@ -149,26 +148,15 @@
     }
     int status = truthful(code);
     log("failed", reason, status);
-    HttpHeaders headers = new DefaultHttpHeaders(false);
-    headers.set("Content-Type", "application/json");
-    if (status == 503 && !retryAfter.isZero()) {
-      headers.set(
-          "Retry-After", String.format(Locale.ROOT, "%.3f", retryAfter.toMillis() / 1000.0));
-    }
-    String text =
-        "{\"error\":{\"code\":\""
-            + code.wireName()
-            + "\",\"message\":\""
-            + reason.replace('"', '\'')
-            + "\"}}";
-    caller.answer(
-        HttpResponseStatus.valueOf(status), headers, text.getBytes(StandardCharsets.UTF_8));
+    Duration pause = status == SERVICE_UNAVAILABLE ? retryAfter : Duration.ZERO;
+    ErrorAnswer.send(caller, status, code, reason, pause);
   }
 
   /** A status that promises that the request has not run is only used where that is known. */
   private int truthful(ErrorCode code) {
     int status = code.httpStatus();
-    boolean promise = status == 503 || status == 429 || status == 408 || status == 421;
+    boolean promise =
+        status == SERVICE_UNAVAILABLE || status == 429 || status == 408 || status == 421;
     if (promise && possibleRuns > 0) {
       return ErrorCode.UPSTREAM_FAILED.httpStatus();
     }
--- a/gateway/src/main/java/org/mustardlatch/gateway/Gateway.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/Gateway.java
@@ -1,12 +1,8 @@
 package org.mustardlatch.gateway;
 
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
@@ -30,6 +26,8 @@
 public final class Gateway implements CallerHandler {
   // The load balancer sends new callers until it has missed readiness twice, a second apart.
   private static final Duration BALANCER_NOTICE = Duration.ofMillis(2_800);
+  // A new node knows its configuration within a few readings of the store.
+  private static final Duration NOT_READY_PAUSE = Duration.ofMillis(300);
   private static final Duration DRAIN_CHECK = Duration.ofMillis(50);
   private static final Duration END_MARGIN = Duration.ofMillis(400);
 
@@ -216,17 +214,8 @@
 
   private void reject(CallerExchange caller, ErrorCode code, String reason) {
     EventLog.log(LogEvent.REQUEST_REJECTED, caller.head().uri(), code.wireName(), reason);
-    HttpHeaders headers = new DefaultHttpHeaders(false);
-    headers.set("Content-Type", "application/json");
-    if (code == ErrorCode.NOT_READY) {
-      headers.set("Retry-After", "0.3");
-    }
-    String text =
-        "{\"error\":{\"code\":\"" + code.wireName() + "\",\"message\":\"" + reason + "\"}}";
-    caller.answer(
-        HttpResponseStatus.valueOf(code.httpStatus()),
-        headers,
-        text.getBytes(StandardCharsets.UTF_8));
+    Duration pause = code == ErrorCode.NOT_READY ? NOT_READY_PAUSE : Duration.ZERO;
+    ErrorAnswer.send(caller, code.httpStatus(), code, reason, pause);
   }
 
   @Override
--- a/gateway/src/main/java/org/mustardlatch/gateway/GenerationPath.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/GenerationPath.java
@@ -18,6 +18,7 @@
 import org.mustardlatch.core.routing.RoutingEvent;
 import org.mustardlatch.core.time.TimerService;
 import org.mustardlatch.gateway.http.CallerExchange;
+import org.mustardlatch.gateway.http.UpstreamAnswer;
 import org.mustardlatch.gateway.log.EventLog;
 import org.mustardlatch.gateway.log.LogEvent;
 
--- a/gateway/src/main/java/org/mustardlatch/gateway/GenerationStream.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/GenerationStream.java
@@ -4,6 +4,7 @@
 import org.mustardlatch.core.model.AttemptId;
 import org.mustardlatch.core.model.RequestId;
 import org.mustardlatch.gateway.config.Instance;
+import org.mustardlatch.gateway.http.UpstreamAnswer;
 import org.mustardlatch.gateway.log.EventLog;
 import org.mustardlatch.gateway.log.LogEvent;
 
--- a/gateway/src/main/java/org/mustardlatch/gateway/config/GatewayService.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/config/GatewayService.java
@@ -6,7 +6,6 @@
  * A service that routes lead to.
  *
  * @param name name of the service
- * @param maxConnections connections that one of its upstreams accepts from all nodes together
  * @param engine what its engines are; null for a plain application service
  */
-public record GatewayService(String name, int maxConnections, @Nullable EngineTraits engine) {}
+public record GatewayService(String name, @Nullable EngineTraits engine) {}
--- a/gateway/src/main/java/org/mustardlatch/gateway/UpstreamAnswer.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/http/UpstreamAnswer.java
@@ -1,39 +1,45 @@
-package org.mustardlatch.gateway;
+package org.mustardlatch.gateway.http;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
 import java.io.ByteArrayOutputStream;
 
 /** An answer of an upstream that is collected before it goes on. */
-final class UpstreamAnswer {
+public final class UpstreamAnswer {
   private static final int FIRST_FAILURE = 300;
 
   private final HttpResponse head;
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
 
-  UpstreamAnswer(HttpResponse head) {
+  /** Creates an answer without a body. */
+  public UpstreamAnswer(HttpResponse head) {
     this.head = head;
   }
 
-  void add(ByteBuf part) {
+  /** Copies a part of the body. */
+  public void add(ByteBuf part) {
     byte[] bytes = new byte[part.readableBytes()];
     part.readBytes(bytes);
     body.writeBytes(bytes);
   }
 
-  HttpResponse head() {
+  /** Returns the status and the headers. */
+  public HttpResponse head() {
     return head;
   }
 
-  int status() {
+  /** Returns the status code. */
+  public int status() {
     return head.status().code();
   }
 
-  boolean succeeded() {
+  /** Returns whether the status is no redirection and no failure. */
+  public boolean succeeded() {
     return status() < FIRST_FAILURE;
   }
 
-  byte[] body() {
+  /** Returns the body collected so far. */
+  public byte[] body() {
     return body.toByteArray();
   }
 }
--- a/gateway/src/main/java/org/mustardlatch/gateway/store/HttpStoreReader.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/store/HttpStoreReader.java
@@ -1,9 +1,6 @@
 package org.mustardlatch.gateway.store;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpResponse;
-import java.io.ByteArrayOutputStream;
 import java.time.Duration;
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
@@ -12,8 +9,9 @@
 import org.mustardlatch.core.time.TimerSubscription;
 import org.mustardlatch.gateway.http.Call;
 import org.mustardlatch.gateway.http.CallFailure;
-import org.mustardlatch.gateway.http.CallListener;
 import org.mustardlatch.gateway.http.CallRequest;
+import org.mustardlatch.gateway.http.CollectedAnswer;
+import org.mustardlatch.gateway.http.UpstreamAnswer;
 import org.mustardlatch.gateway.http.UpstreamPool;
 
 /** Reads objects of one kind over HTTP. */
@@ -53,13 +51,11 @@
   }
 
   /** Collects one answer. */
-  private final class Reading implements CallListener {
+  private final class Reading extends CollectedAnswer {
     private final BiFunction<Integer, byte[], StoreAnswer<T>> decoder;
     private final Consumer<StoreAnswer<T>> answer;
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private @Nullable Call call;
     private @Nullable TimerSubscription timer;
-    private int status;
 
     Reading(BiFunction<Integer, byte[], StoreAnswer<T>> decoder, Consumer<StoreAnswer<T>> answer) {
       this.decoder = decoder;
@@ -67,20 +63,8 @@
     }
 
     @Override
-    public void head(HttpResponse head) {
-      status = head.status().code();
-    }
-
-    @Override
-    public void body(ByteBuf part) {
-      byte[] bytes = new byte[part.readableBytes()];
-      part.readBytes(bytes);
-      body.writeBytes(bytes);
-    }
-
-    @Override
-    public void end() {
-      finish(decoder.apply(status, body.toByteArray()));
+    protected void answered(UpstreamAnswer whole) {
+      finish(decoder.apply(whole.status(), whole.body()));
     }
 
     @Override
--- a/gateway/src/test/java/org/mustardlatch/gateway/PlainProtocol.java
+++ b/gateway/src/test/java/org/mustardlatch/gateway/PlainProtocol.java
@@ -20,7 +20,6 @@
     return new CallerRequest(
         headers.get("Id"),
         deadline == null ? null : Long.parseLong(deadline),
-        null,
         headers.getInt("Prompt", 100),
         100,
         0,
--- a/gateway/src/test/java/org/mustardlatch/gateway/RunningGateway.java
+++ b/gateway/src/test/java/org/mustardlatch/gateway/RunningGateway.java
@@ -88,10 +88,9 @@
             route("/stream/", RequestKind.STREAMING, "engine", false),
             route("/resumable/", RequestKind.STREAMING, "engine", true)),
         List.of(
-            new GatewayService("app", 100, null),
+            new GatewayService("app", null),
             new GatewayService(
                 "engine",
-                100,
                 new EngineTraits(8, 32_000, 1000, Duration.ofMillis(500), Duration.ZERO))),
         CallerLimits.DEFAULT);
   }
--- a/gateway/src/test/java/org/mustardlatch/gateway/config/GatewayConfigurationTest.java
+++ b/gateway/src/test/java/org/mustardlatch/gateway/config/GatewayConfigurationTest.java
@@ -28,7 +28,7 @@
     return new GatewayConfiguration(
         1,
         List.of(routes),
-        List.of(new GatewayService("s", 1, null), new GatewayService("t", 1, null)),
+        List.of(new GatewayService("s", null), new GatewayService("t", null)),
         CallerLimits.DEFAULT);
   }
 
