Test repeated headers, early answers and silent kept connections on raw sockets

An upstream that answers before it has read a long body must get the rest of that body before anything else, or it reads the next request in the middle of the first.

Ruled out: a fault.

--- a/gateway/src/test/java/org/mustardlatch/gateway/DataPathTest.java
+++ b/gateway/src/test/java/org/mustardlatch/gateway/DataPathTest.java
@@ -1,11 +1,19 @@
 package org.mustardlatch.gateway;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -59,6 +67,98 @@
     assertThat(one.requests().getFirst()).endsWith("\r\n\r\nsome body");
   }
 
+  @Test
+  void passesRepeatedHeadersOnInTheirOrder() throws Exception {
+    gateway.app("one", one);
+    one.thenAnswer(
+        "HTTP/1.1 200 OK\r\nId: q1\r\nMark: m\r\nSet-Cookie: a=1\r\nSet-Cookie: b=2\r\n"
+            + "Content-Length: 4\r\n\r\ndone");
+
+    String answer =
+        gateway.exchange(
+            """
+            GET /once/x HTTP/1.1
+            Host: host
+            Id: q1
+            Tag: one
+            Tag: two
+            Connection: close
+
+            """
+                .replace("\n", "\r\n"));
+
+    assertThat(headers(one.requests().getFirst(), "tag")).containsExactly("one", "two").inOrder();
+    assertThat(headers(answer, "set-cookie")).containsExactly("a=1", "b=2").inOrder();
+  }
+
+  @Test
+  void sendsAllOfABodyThatWasAnsweredEarlyBeforeAnythingElse() throws Exception {
+    String body = "b".repeat(200_000);
+    List<String> heads = new CopyOnWriteArrayList<>();
+    List<Integer> lengths = new CopyOnWriteArrayList<>();
+    try (ServerSocket server = new ServerSocket()) {
+      // A small window, so that the body is not in the kernel's buffers when the answer comes.
+      server.setReceiveBufferSize(4_096);
+      server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+      Thread.ofVirtual().start(() -> answerEarly(server, heads, lengths));
+      gateway.app("early", (InetSocketAddress) server.getLocalSocketAddress());
+
+      assertThat(gateway.exchange(post("/once/x", body))).endsWith("done");
+      assertThat(gateway.exchange(post("/once/y", "next"))).endsWith("done");
+    }
+    assertThat(heads.get(1)).startsWith("POST /once/y HTTP/1.1\r\n");
+    assertThat(lengths).contains(4);
+  }
+
+  /** Answers each request once its head is in, and reads its body only afterwards. */
+  private static void answerEarly(ServerSocket server, List<String> heads, List<Integer> lengths) {
+    while (!server.isClosed()) {
+      try {
+        Socket s = server.accept();
+        Thread.ofVirtual()
+            .start(
+                () -> {
+                  try (s) {
+                    while (true) {
+                      String head = ScriptedUpstream.readHead(s.getInputStream());
+                      heads.add(head);
+                      s.getOutputStream().write(OK.getBytes(UTF_8));
+                      s.getOutputStream().flush();
+                      int length = ScriptedUpstream.bodyLength(head);
+                      lengths.add(s.getInputStream().readNBytes(length).length);
+                    }
+                  } catch (IOException e) {
+                    // The gateway closed the connection.
+                  }
+                });
+      } catch (IOException e) {
+        return;
+      }
+    }
+  }
+
+  @Test
+  void repeatsAnIdempotentRequestElsewhereWhenAKeptConnectionHasGoneSilent() throws Exception {
+    gateway.app("one", one);
+    one.thenAnswer(OK);
+    assertThat(gateway.exchange(get("/again/x"))).endsWith("done");
+    gateway.app("two", two);
+    for (int i = 0; one.requests().size() < 2; i++) {
+      assertWithMessage("requests that went to the other upstream").that(i).isLessThan(20);
+      two.thenAnswer(OK);
+      assertThat(gateway.exchange(get("/again/x"))).endsWith("done");
+    }
+  }
+
+  private static List<String> headers(String message, String name) {
+    return message
+        .lines()
+        .takeWhile(line -> !line.isEmpty())
+        .filter(line -> line.toLowerCase(Locale.ROOT).startsWith(name + ":"))
+        .map(line -> line.substring(name.length() + 1).strip())
+        .toList();
+  }
+
   @Test
   void joinsARequestInChunksToOneBody() throws Exception {
     gateway.app("one", one);
--- a/gateway/src/test/java/org/mustardlatch/gateway/RunningGateway.java
+++ b/gateway/src/test/java/org/mustardlatch/gateway/RunningGateway.java
@@ -112,18 +112,23 @@
 
   /** Adds an application upstream. */
   RunningGateway app(String id, ScriptedUpstream upstream) throws Exception {
-    return add(id, "app", upstream, null);
+    return app(id, upstream.address());
+  }
+
+  /** Adds an application upstream at an address. */
+  RunningGateway app(String id, InetSocketAddress address) throws Exception {
+    return add(id, "app", address, null);
   }
 
   /** Adds an engine. */
   RunningGateway engine(String id, ScriptedUpstream upstream, EngineStage stage) throws Exception {
-    return add(id, "engine", upstream, stage);
+    return add(id, "engine", upstream.address(), stage);
   }
 
   private RunningGateway add(
-      String id, String service, ScriptedUpstream upstream, @Nullable EngineStage stage)
+      String id, String service, InetSocketAddress address, @Nullable EngineStage stage)
       throws Exception {
-    instances.add(new Instance(id, 1, service, upstream.address(), "a", 8, false, stage));
+    instances.add(new Instance(id, 1, service, address, "a", 8, false, stage));
     onLoop(
         () ->
             fleet
--- a/gateway/src/test/java/org/mustardlatch/gateway/ScriptedUpstream.java
+++ b/gateway/src/test/java/org/mustardlatch/gateway/ScriptedUpstream.java
@@ -88,6 +88,12 @@
   }
 
   private static String readRequest(InputStream in) throws IOException {
+    String head = readHead(in);
+    return head + new String(in.readNBytes(bodyLength(head)), StandardCharsets.UTF_8);
+  }
+
+  /** Reads up to the empty line after the headers. */
+  static String readHead(InputStream in) throws IOException {
     StringBuilder head = new StringBuilder();
     while (head.indexOf("\r\n\r\n") < 0) {
       int b = in.read();
@@ -96,14 +102,17 @@
       }
       head.append((char) b);
     }
-    int length = 0;
-    for (String line : head.toString().split("\r\n", -1)) {
+    return head.toString();
+  }
+
+  /** Returns the length of the body that a head announces, bytes. */
+  static int bodyLength(String head) {
+    for (String line : head.split("\r\n", -1)) {
       if (line.toLowerCase(Locale.ROOT).startsWith("content-length:")) {
-        length = Integer.parseInt(line.substring(15).strip());
+        return Integer.parseInt(line.substring(15).strip());
       }
     }
-    byte[] body = in.readNBytes(length);
-    return head + new String(body, StandardCharsets.UTF_8);
+    return 0;
   }
 
   @Override
