Accept bursts of connections without resets

Cause of the known-red case RequestPathTest#twoHundredConcurrentStreamsEachCarryTheirOwnAnswer: Jetty listened with a queue of 50 connections.

Ruled out: a pooled connection of the test's client to a reused port.

The data path on the platform had a queue of 512 already.

--- a/daemon/src/main/java/org/mustardlatch/daemon/node/HttpServer.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/node/HttpServer.java
@@ -21,6 +21,10 @@
   /** Longer than the longest pause between tokens that a request may have. */
   private static final Duration IDLE_TIMEOUT = Duration.ofMinutes(5);
 
+  // The default of 50 is full after a pause of some milliseconds. The kernel then answers with SYN
+  // cookies and resets a connection whose second segment arrives before it was accepted.
+  private static final int ACCEPT_QUEUE = 1024;
+
   private final SocketAddress address;
   private final Consumer<RoutesConfig> routes;
   private @Nullable Javalin javalin;
@@ -70,6 +74,7 @@
     ServerConnector created = new ServerConnector(server, new HttpConnectionFactory(http));
     created.setHost(address.ip());
     created.setPort(address.port());
+    created.setAcceptQueueSize(ACCEPT_QUEUE);
     created.setIdleTimeout(IDLE_TIMEOUT.toMillis());
     connector = created;
     return created;
--- a/daemon/src/test/java/org/mustardlatch/daemon/ProcessFaultTest.java
+++ b/daemon/src/test/java/org/mustardlatch/daemon/ProcessFaultTest.java
@@ -2,15 +2,22 @@
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
+import static java.nio.charset.StandardCharsets.US_ASCII;
 import static java.util.concurrent.Future.State.RUNNING;
 
+import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.Socket;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -28,6 +35,7 @@
 
   private static final Duration STEP_BOUND = Duration.ofSeconds(30);
   private static final int ENDLESS = 10_000;
+  private static final int BURST = 400;
 
   @TempDir Path directory;
 
@@ -97,6 +105,34 @@
     awaitNothingAllocated(NODE_GONE_BOUND);
   }
 
+  @Test
+  void connectionsThatArriveWhileTheNodeIsStoppedAreServedWhenItGoesOn() throws Exception {
+    first.signal("STOP");
+    CountDownLatch written = new CountDownLatch(BURST);
+    List<Future<String>> answers = new ArrayList<>();
+    for (int i = 0; i < BURST; i++) {
+      answers.add(callers.submit(() -> askInTwoSegments(first.callerPort(), written)));
+    }
+    // With a short queue, clients connect again after 1 s, all at once, and overflow it once more.
+    var unused = written.await(300, TimeUnit.MILLISECONDS);
+    first.signal("CONT");
+    for (Future<String> answer : answers) {
+      assertThat(answer.get()).startsWith("HTTP/1.1 ");
+    }
+  }
+
+  /** Sends a request as clients do that write its head and the rest on their own. */
+  private static String askInTwoSegments(int port, CountDownLatch written) throws IOException {
+    try (Socket s = new Socket(InetAddress.getLoopbackAddress(), port)) {
+      s.setSoTimeout((int) STEP_BOUND.toMillis());
+      s.setTcpNoDelay(true);
+      s.getOutputStream().write("GET /nothing HTTP/1.1\r\nHost: router\r\n".getBytes(US_ASCII));
+      s.getOutputStream().write("Connection: close\r\n\r\n".getBytes(US_ASCII));
+      written.countDown();
+      return new String(s.getInputStream().readAllBytes(), US_ASCII);
+    }
+  }
+
   @Test
   void aPlannedStopFinishesTheStreamAndExitsWithZero() throws Exception {
     Future<HttpCalls.Answer> stream = callers.submit(() -> complete(first, "last", 150));
--- a/gateway/src/main/java/org/mustardlatch/gateway/http/CallerServer.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/http/CallerServer.java
@@ -22,6 +22,7 @@
   /** Idle connections live a little longer than callers are told, so that theirs is the close. */
   static final Duration IDLE_MARGIN = Duration.ofSeconds(1);
 
+  // Connections that wait while the event loop is paused; a full queue leads to resets.
   private static final int BACKLOG = 512;
 
   private final EventLoop loop;
