--- a/gateway/src/test/java/org/mustardlatch/gateway/DataPathTest.java
+++ b/gateway/src/test/java/org/mustardlatch/gateway/DataPathTest.java
@@ -317,6 +317,45 @@
     assertThat(one.closedByCaller().poll(250, TimeUnit.MILLISECONDS)).isTrue();
   }
 
+  @Test
+  void tellsTheEngineWithinAQuarterSecondThatTheCallerLeftAmidAStream() throws Exception {
+    gateway.engine("one", one, EngineStage.DECODE);
+    one.then(
+        (socket, out, request) -> {
+          String head =
+              "HTTP/1.1 200 OK\r\nId: q1\r\nMark: m\r\nTransfer-Encoding: chunked\r\n\r\n";
+          out.write((head + "7\r\nid: 1\n\n\r\n").getBytes(UTF_8));
+          out.flush();
+          socket.getInputStream().read();
+          throw new IOException("closed");
+        });
+    Socket caller = gateway.connect();
+    caller.getOutputStream().write(post("/stream/x", "p").getBytes(UTF_8));
+    caller.getOutputStream().flush();
+    StringBuilder received = new StringBuilder();
+    while (received.indexOf("id: 1\n\n") < 0) {
+      received.append((char) caller.getInputStream().read());
+    }
+
+    caller.close();
+
+    assertThat(one.closedByCaller().poll(250, TimeUnit.MILLISECONDS)).isTrue();
+  }
+
+  @Test
+  void sendsNothingToAnUpstreamWhenTheCallerLeavesBeforeItsBodyIsComplete() throws Exception {
+    gateway.app("one", one);
+    one.thenAnswer(OK);
+    try (Socket caller = gateway.connect()) {
+      String whole = post("/once/x", "some body");
+      caller.getOutputStream().write(whole.substring(0, whole.length() - 4).getBytes(UTF_8));
+      caller.getOutputStream().flush();
+    }
+
+    assertThat(gateway.exchange(get("/once/y"))).endsWith("done");
+    assertThat(one.requests()).hasSize(1);
+  }
+
   @Test
   void breaksOffAStreamWhoseEngineBreaksOffSoThatItDoesNotLookComplete() throws Exception {
     gateway.engine("one", one, EngineStage.DECODE);
