Do not fail on an engine that registers no slots; say what two constants mean

Cause: found in the last read of the change. The room of an engine was clamped between one and its slots, which throws when an entry states no slots. PlacerTest has the case; it threw before.

Conclusion: no other decision changes.

--- a/core/src/main/java/org/mustardlatch/core/routing/Cell.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/Cell.java
@@ -16,7 +16,7 @@
     engines = List.copyOf(engines);
   }
 
-  /** Returns whether an engine that stays has prompts as its work. */
+  /** Returns whether some engine that is not leaving processes prompts by its role. */
   boolean hasPrefillEngine() {
     return engines.stream().anyMatch(e -> e.role().prefills() && !e.leaving());
   }
--- a/core/src/main/java/org/mustardlatch/core/routing/CellAdmission.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/CellAdmission.java
@@ -49,6 +49,7 @@
   private static final int MAX_DOUBLINGS = 4;
   private static final long FAILURE_BLOCK_NANOS = 1_000_000_000L;
   private static final long REFUSAL_BLOCK_NANOS = 150_000_000L;
+  // The last ten requests or so make the usual size.
   private static final double NEWEST_SIZE_WEIGHT = 0.1;
   // Only until departures were observed: a slot is held for about 10 s.
   private static final double INITIAL_DEPARTURES_PER_SLOT = 0.1;
--- a/core/src/main/java/org/mustardlatch/core/routing/EngineState.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/EngineState.java
@@ -94,12 +94,15 @@
     return Math.clamp((upstream.memoryPieces() - heldPieces) / Math.max(1, pieces), 0, free);
   }
 
-  /** Returns how many requests of {@code pieces} of KV memory it holds when empty, at least 1. */
+  /**
+   * Returns how many requests of {@code pieces} of KV memory it holds when empty. Memory counts as
+   * room for one at least: some requests are smaller than the usual one.
+   */
   int capacityFor(int pieces) {
     int slots = upstream.slots();
     return upstream.memoryPieces() == 0
         ? slots
-        : Math.clamp(upstream.memoryPieces() / Math.max(1, pieces), 1, slots);
+        : Math.min(slots, Math.max(1, upstream.memoryPieces() / Math.max(1, pieces)));
   }
 
   boolean hasMemory(int pieces) {
--- a/core/src/main/java/org/mustardlatch/core/routing/Placer.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/Placer.java
@@ -19,7 +19,8 @@
   private static final long CROSS_ZONE_NANOS = 10_000_000;
   // A single slow transfer must not make an engine look useless for all requests.
   private static final double MAX_TRANSFER_RATIO = 3;
-  // An engine that is believed slow must leave this much of the time as a margin for the belief.
+  // Share of the time left that the first token may take on an engine that looks slow; the rest is
+  // for an estimate that is too low.
   private static final double STRAGGLER_BUDGET_SHARE = 0.6;
   private static final long MEDIAN_AGE_NANOS = 50_000_000;
 
--- a/core/src/test/java/org/mustardlatch/core/routing/PlacerTest.java
+++ b/core/src/test/java/org/mustardlatch/core/routing/PlacerTest.java
@@ -72,6 +72,14 @@
     assertThat(placer.freeDecodeSlots(1, NOW)).isEqualTo(35);
   }
 
+  @Test
+  void anEngineThatRegistersNoSlotsHasNoRoom() {
+    EngineState none =
+        new EngineState(Fixtures.engine("d2", UpstreamRole.DECODE, "oslo-a", 0), 1000);
+    assertThat(none.capacityFor(30)).isEqualTo(0);
+    assertThat(none.freeFor(30)).isEqualTo(0);
+  }
+
   private Placer.@Nullable Placement placed() {
     Ask ask =
         new Ask(
