--- a/core/src/test/java/org/mustardlatch/core/routing/NodeRouterTest.java
+++ b/core/src/test/java/org/mustardlatch/core/routing/NodeRouterTest.java
@@ -315,16 +315,9 @@
 
   @Test
   void asksTheOtherRegionOnlyWhenItsOwnHasNoCell() {
-    NodeRouter remote =
-        new NodeRouter(Fixtures.host(1), Fixtures.BERGEN, 1, new SplittableRandom(1));
-    List<RoutingEvent> setup =
-        List.of(
-            new RoutingEvent.MembersChanged(
-                List.of(Fixtures.member(0, OSLO), Fixtures.member(1, Fixtures.BERGEN))),
-            new RoutingEvent.ManifestApplied(
-                1, Fixtures.manifest(Objective.CREST_AVERSE, Fixtures.pools(2, 2))),
-            new RoutingEvent.RequestArrived(Fixtures.request("r1", 2000, now)));
-    setup.forEach(e -> remote.handle(e, now, commands::add));
+    NodeRouter remote = bergenNode(Fixtures.pools(2, 2));
+    remote.handle(
+        new RoutingEvent.RequestArrived(Fixtures.request("r1", 2000, now)), now, commands::add);
 
     assertThat(last(RoutingCommand.SendPeer.class).to()).isEqualTo(Fixtures.host(0));
     assertThat(all(RoutingCommand.Explain.class).stream().map(RoutingCommand.Explain::rule))
@@ -373,18 +366,7 @@
 
   @Test
   void refusesToCrossWithoutByteBudget() {
-    NodeRouter remote =
-        new NodeRouter(Fixtures.host(1), Fixtures.BERGEN, 1, new SplittableRandom(1));
-    remote.handle(
-        new RoutingEvent.MembersChanged(
-            List.of(Fixtures.member(0, OSLO), Fixtures.member(1, Fixtures.BERGEN))),
-        now,
-        commands::add);
-    remote.handle(
-        new RoutingEvent.ManifestApplied(
-            1, Fixtures.manifest(Objective.CREST_AVERSE, Fixtures.pools(2, 2))),
-        now,
-        commands::add);
+    NodeRouter remote = bergenNode(Fixtures.pools(2, 2));
     for (int i = 0; i < 6; i++) {
       // 120 kB each; the budget of the region is 500 kB a second.
       GenerationRequest r = Fixtures.request("r" + i, 30_000, now);
