Log what a broken call shows and which requests have the same content

Cause: after a call broke, no log line or metric told a crashed upstream from a broken connection, and equal requests that came again under other ids could not be found in the logs of several nodes.

No decision depends on the result yet. The digest moves from FleetManifest to RoutedExchange and covers method and host too.

--- a/gateway/src/main/java/org/mustardlatch/gateway/ApplicationRequestHandler.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/ApplicationRequestHandler.java
@@ -51,6 +51,7 @@
   private final Map<CallerExchange, ActiveRequest> activeRequests = new HashMap<>();
   private final PlatformProtocol protocol;
   private final GatewayMetrics metrics;
+  private final CrashDetector crashDetector;
   private final IntSupplier liveNodeCount;
 
   ApplicationRequestHandler(
@@ -60,8 +61,10 @@
       PlatformProtocol protocol,
       RandomGenerator random,
       GatewayMetrics metrics,
+      CrashDetector crashDetector,
       IntSupplier liveNodeCount) {
     this.liveNodeCount = liveNodeCount;
+    this.crashDetector = crashDetector;
     this.metrics = metrics;
     this.fleet = fleet;
     this.timers = timers;
@@ -170,7 +173,8 @@
           exchange.localId(),
           target.id(),
           reason,
-          (long) (predicted / 1_000_000));
+          (long) (predicted / 1_000_000),
+          exchange.contentId());
       Attempt attempt = new Attempt(c.id(), now);
       activeAttempts.add(attempt);
       balancer.requestSent(c.id());
@@ -299,6 +303,11 @@
           attempt.upstream,
           failure,
           reason);
+      Instance target = fleet.instance(attempt.upstream.value());
+      if (failure == CallFailure.BROKEN && target != null) {
+        crashDetector.check(
+            target, exchange.callerRequestId(), exchange.contentId(), crashed -> {});
+      }
       if (failure == CallFailure.NOT_SENT) {
         // The upstream did not receive the request, so this is not counted as an attempt.
         attemptCount--;
--- a/gateway/src/main/java/org/mustardlatch/gateway/EngineCalls.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/EngineCalls.java
@@ -50,6 +50,7 @@
   private final TimerService timers;
   private final PlatformProtocol protocol;
   private final GatewayMetrics metrics;
+  private final CrashDetector crashDetector;
   private final Consumer<RoutingEvent> eventSink;
   private final Map<AttemptId, Call> calls = new HashMap<>();
   private final Map<AttemptId, EngineReservation> reservations = new HashMap<>();
@@ -65,11 +66,13 @@
       TimerService timers,
       PlatformProtocol protocol,
       GatewayMetrics metrics,
+      CrashDetector crashDetector,
       Consumer<RoutingEvent> eventSink) {
     this.fleet = fleet;
     this.timers = timers;
     this.protocol = protocol;
     this.metrics = metrics;
+    this.crashDetector = crashDetector;
     this.eventSink = eventSink;
   }
 
@@ -155,7 +158,14 @@
             ? reservation.reservationId
             : null;
     CallRequest request = s.exchange.toUpstreamRequest(s.callPlan(target, work, reservationId));
-    sendCall(c.attempt(), target, request, new DecodeResponseListener(c.attempt(), s));
+    sendCall(c.attempt(), target, request, new DecodeResponseListener(c.attempt(), s, target));
+  }
+
+  private void checkForCrash(Instance target, GenerationStream s, CallFailure failure) {
+    if (failure == CallFailure.BROKEN) {
+      crashDetector.check(
+          target, s.exchange.callerRequestId(), s.exchange.contentId(), crashed -> {});
+    }
   }
 
   private void sendCall(
@@ -299,6 +309,7 @@
     public void failed(CallFailure failure, String reason) {
       calls.remove(attempt);
       recordFailure(failure + " " + reason);
+      checkForCrash(source, stream, failure);
       releaseReservation(attempt);
       emit(new RoutingEvent.PrefillFailed(attempt, Failure.DISCONNECTED));
     }
@@ -319,12 +330,14 @@
   private final class DecodeResponseListener implements CallListener {
     private final AttemptId attempt;
     private final GenerationStream stream;
+    private final Instance target;
     private @Nullable BufferedResponse response;
     private boolean started;
 
-    DecodeResponseListener(AttemptId attempt, GenerationStream stream) {
+    DecodeResponseListener(AttemptId attempt, GenerationStream stream, Instance target) {
       this.attempt = attempt;
       this.stream = stream;
+      this.target = target;
     }
 
     @Override
@@ -422,6 +435,7 @@
       calls.remove(attempt);
       stream.events.discardIncompleteEvent();
       recordFailure(failure + " " + reason);
+      checkForCrash(target, stream, failure);
       boolean notSent = failure == CallFailure.NOT_SENT;
       emit(
           new RoutingEvent.DecodeFailed(attempt, notSent ? Failure.REFUSED : Failure.DISCONNECTED));
@@ -430,7 +444,12 @@
     private void recordFailure(String reason) {
       metrics.countFailedCall("decode", "any");
       EventLog.log(
-          LogEvent.CALL_FAILED, stream.exchange.callerRequestId(), attempt, "-", "decode", reason);
+          LogEvent.CALL_FAILED,
+          stream.exchange.callerRequestId(),
+          attempt,
+          target.id(),
+          "decode",
+          reason);
     }
   }
 
--- a/gateway/src/main/java/org/mustardlatch/gateway/FleetManifest.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/FleetManifest.java
@@ -1,9 +1,6 @@
 package org.mustardlatch.gateway;
 
-import com.google.common.hash.Hasher;
-import com.google.common.hash.Hashing;
 import java.net.URI;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -153,15 +150,4 @@
     }
     return result;
   }
-
-  /**
-   * Returns the digest of the request target and the body, which determine what an upstream
-   * executes.
-   */
-  static String fingerprint(RoutedExchange exchange) {
-    Hasher h = Hashing.sha256().newHasher();
-    h.putString(exchange.caller().head().uri(), StandardCharsets.UTF_8);
-    h.putBytes(exchange.caller().body());
-    return h.hash().toString();
-  }
 }
--- a/gateway/src/main/java/org/mustardlatch/gateway/Gateway.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/Gateway.java
@@ -73,12 +73,29 @@
     this.protocol = protocol;
     this.peers = peers;
     this.random = random;
+    var crashDetector = new CrashDetector(loop, fleet, metrics);
     this.applicationHandler =
         new ApplicationRequestHandler(
-            fleet, timers, settings, protocol, random, metrics, () -> peers.members().size());
+            fleet,
+            timers,
+            settings,
+            protocol,
+            random,
+            metrics,
+            crashDetector,
+            () -> peers.members().size());
     this.generationHandler =
         new GenerationRequestHandler(
-            fleet, timers, settings, protocol, random, peers, incarnation, loop, metrics);
+            fleet,
+            timers,
+            settings,
+            protocol,
+            random,
+            peers,
+            incarnation,
+            loop,
+            metrics,
+            crashDetector);
     this.callerServer =
         new CallerServer(loop, timers, settings.callerAddress(), this, this::limits);
     this.readinessServer = new PageServer(loop, timers, settings.readinessAddress());
--- a/gateway/src/main/java/org/mustardlatch/gateway/GatewayMetrics.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/GatewayMetrics.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.function.Supplier;
 import org.mustardlatch.gateway.config.RequestKind;
+import org.mustardlatch.gateway.http.ConnectionProbe;
 
 /** The metrics of the data path in a Prometheus registry. Used on its event loop only. */
 public final class GatewayMetrics {
@@ -84,6 +85,16 @@
     count("mustardlatch.calls.failed", "part", part, "failure", failure);
   }
 
+  /** Counts a probe of an upstream after a call to it broke. */
+  void countProbe(ConnectionProbe.Result result, boolean crashed) {
+    count(
+        "mustardlatch.upstream.probes",
+        "result",
+        result.name().toLowerCase(Locale.ROOT),
+        "crashed",
+        "" + crashed);
+  }
+
   private static Timer.Builder histogram(String name) {
     return Timer.builder(name)
         .publishPercentileHistogram()
--- a/gateway/src/main/java/org/mustardlatch/gateway/GenerationRequestHandler.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/GenerationRequestHandler.java
@@ -7,7 +7,6 @@
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.mustardlatch.core.model.AttemptId;
-import org.mustardlatch.core.model.Fingerprint;
 import org.mustardlatch.core.model.ModelId;
 import org.mustardlatch.core.model.RequestId;
 import org.mustardlatch.core.model.WorkspaceId;
@@ -76,7 +75,8 @@
       Peers peers,
       long incarnation,
       Executor eventExecutor,
-      GatewayMetrics metrics) {
+      GatewayMetrics metrics,
+      CrashDetector crashDetector) {
     this.metrics = metrics;
     this.peers = peers;
     this.fleet = fleet;
@@ -85,7 +85,8 @@
     this.random = random;
     this.eventExecutor = eventExecutor;
     this.router = new NodeRouter(settings.host(), settings.region(), incarnation, random);
-    this.engineCalls = new EngineCalls(fleet, timers, protocol, metrics, this::postEvent);
+    this.engineCalls =
+        new EngineCalls(fleet, timers, protocol, metrics, crashDetector, this::postEvent);
     this.runner = new PolicyRunner(timers, router, this::executeCommand);
   }
 
@@ -128,7 +129,7 @@
             Math.max(1, metadata.maxOutputTokens()),
             exchange.caller().body().length,
             FleetManifest.prefixBlocks(metadata.promptParts()),
-            new Fingerprint(FleetManifest.fingerprint(exchange)),
+            exchange.fingerprint(),
             Math.min(exchange.deadlineNanos(), firstTokenDeadline),
             exchange.deadlineNanos(),
             exchange.route().repeatable(),
--- a/gateway/src/main/java/org/mustardlatch/gateway/GenerationStream.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/GenerationStream.java
@@ -55,6 +55,7 @@
         stage,
         target.id(),
         target.zone(),
-        events.eventCount());
+        events.eventCount(),
+        exchange.contentId());
   }
 }
--- a/gateway/src/main/java/org/mustardlatch/gateway/RoutedExchange.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/RoutedExchange.java
@@ -1,14 +1,19 @@
 package org.mustardlatch.gateway;
 
+import com.google.common.hash.Hasher;
+import com.google.common.hash.Hashing;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import org.jspecify.annotations.Nullable;
 import org.mustardlatch.core.error.ErrorCode;
+import org.mustardlatch.core.model.Fingerprint;
 import org.mustardlatch.gateway.config.GatewayRoute;
 import org.mustardlatch.gateway.config.GatewayService;
 import org.mustardlatch.gateway.http.BufferedResponse;
@@ -27,6 +32,7 @@
   // fraction of the longest one indicates that the caller retries after a refusal.
   private static final double MIN_FIRST_ATTEMPT_TIMEOUT_FRACTION = 0.85;
   private static final int SERVICE_UNAVAILABLE = 503;
+  private static final int CONTENT_ID_DIGITS = 16;
 
   private final String localId;
   private final CallerExchange caller;
@@ -38,6 +44,7 @@
   private final long deadlineNanos;
   private final long earlierWaitNanos;
   private int possibleExecutions;
+  private @Nullable Fingerprint fingerprint;
 
   RoutedExchange(
       String localId,
@@ -110,6 +117,30 @@
     return id == null ? "-" : id;
   }
 
+  /**
+   * Returns the digest of the method, the host, the target and the body, which determine what an
+   * upstream executes.
+   */
+  Fingerprint fingerprint() {
+    Fingerprint known = fingerprint;
+    if (known == null) {
+      HttpRequest head = caller.head();
+      Hasher h = Hashing.sha256().newHasher();
+      h.putString(head.method().name() + " ", StandardCharsets.UTF_8);
+      h.putString(head.headers().get(HttpHeaderNames.HOST, "") + " ", StandardCharsets.UTF_8);
+      h.putString(head.uri() + "\n", StandardCharsets.UTF_8);
+      h.putBytes(caller.body());
+      known = new Fingerprint(h.hash().toString());
+      fingerprint = known;
+    }
+    return known;
+  }
+
+  /** Returns the start of the fingerprint, which identifies the content in the log. */
+  String contentId() {
+    return fingerprint().value().substring(0, CONTENT_ID_DIGITS);
+  }
+
   /** Records that the request was sent to an upstream, which may execute it from now on. */
   void recordSent() {
     possibleExecutions++;
--- a/gateway/src/main/java/org/mustardlatch/gateway/log/LogEvent.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/log/LogEvent.java
@@ -42,8 +42,10 @@
   UPSTREAM_ENTRY(8016, Level.INFO, "upstream={} service={} zone={} leaving={}"),
   UPSTREAM_ENTRY_UNREADABLE(8017, Level.WARN, "upstream={} entry unreadable"),
   UPSTREAM_REMOVED(8018, Level.INFO, "upstream={} removed"),
-  REQUEST_SENT(8020, Level.INFO, "request={} name={} sent upstream={} reason={} predicted_ms={}"),
-  STAGE_SENT(8021, Level.INFO, "request={} attempt={} stage={} upstream={} zone={} events={}"),
+  REQUEST_SENT(
+      8020, Level.INFO, "request={} name={} sent upstream={} reason={} predicted_ms={} content={}"),
+  STAGE_SENT(
+      8021, Level.INFO, "request={} attempt={} stage={} upstream={} zone={} events={} content={}"),
   PREFILL_DONE(8022, Level.INFO, "request={} attempt={} prefilled upstream={} tokens={} ms={}"),
   DECISION(8023, Level.INFO, "request={} name={} rule={} detail={}"),
   CALL_FAILED(8024, Level.WARN, "request={} name={} upstream={} failure={} reason={}"),
@@ -62,6 +64,8 @@
   CALLER_CONNECTION_BROKEN(8032, Level.INFO, "caller connection was broken already reason={}"),
   OBJECT_UNREADABLE(8019, Level.WARN, "object kind={} name={} unreadable reason={}"),
   SETTINGS_CHANGED(8029, Level.INFO, "reload requested; settings are read at the next start"),
+  CALL_BROKEN(8034, Level.INFO, "request={} content={} upstream={} probed after a broken call"),
+  UPSTREAM_PROBED(8035, Level.INFO, "upstream={} new_connection={} crashed={}"),
   KV_NOT_FREED(8028, Level.WARN, "kv={} upstream={} not freed reason={}");
 
   private final int number;
