Name the requests of a gateway uniquely in the fleet

Cause: a gateway named its requests r1, r2, ... from its start. The admitting node of a cell and the owner of a suspect identify attempts of all nodes by these names, so two nodes whose counters stood alike shared a name: the admitting node took the second reservation request for a repetition of the first and sent the grant to the other node, and the owner of a suspect took two runs of a crashing request at two nodes for one.

Change: names start with ten digits of a digest of host and incarnation (RequestNames).

Ruled out: the caller's id (callers may repeat it), the host's name as prefix (may exceed the 63 characters of a name).

--- a/gateway/src/main/java/org/mustardlatch/gateway/Gateway.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/Gateway.java
@@ -46,12 +46,12 @@
   private final RandomGenerator random;
   private final ApplicationRequestHandler applicationHandler;
   private final GenerationRequestHandler generationHandler;
+  private final RequestNames requestNames;
   private final CallerServer callerServer;
   private final PageServer readinessServer;
   private final @Nullable PageServer metricsServer;
   private final CountDownLatch drained = new CountDownLatch(1);
   private final Map<String, Long> firstAttemptTimeoutMillis = new HashMap<>();
-  private long requestCount;
   private final GatewayMetrics metrics = new GatewayMetrics();
   private boolean draining;
   private boolean wasReady;
@@ -73,6 +73,7 @@
     this.protocol = protocol;
     this.peers = peers;
     this.random = random;
+    this.requestNames = new RequestNames(settings.host(), incarnation);
     var crashDetector = new CrashDetector(loop, fleet, metrics);
     this.applicationHandler =
         new ApplicationRequestHandler(
@@ -195,7 +196,6 @@
 
   @Override
   public void requestReceived(CallerExchange caller) {
-    requestCount++;
     GatewayConfiguration c = fleet.configuration();
     if (c == null) {
       reject(caller, ErrorCode.NOT_READY, "no configuration is known yet");
@@ -215,7 +215,7 @@
     }
     var exchange =
         new RoutedExchange(
-            "r" + requestCount,
+            requestNames.next(),
             caller,
             metadata,
             route,
