Pass on that a request was cleared again after another crash

Cause: nodes drop evidence that equals a message of the last 60 s. A request that was on a second crash and completed again within that time sent the same Cleared message, which was dropped: the other nodes kept it as a suspect, and its owner kept the permission of its run.

Change: a crash report makes the next Cleared of its requests news again.

Test: EvidenceDeduplicatorTest.requestThatIsClearedAgainAfterAnotherCrashIsNews, failed without the change (run) and passes with it.

--- a/wire/src/main/java/org/mustardlatch/wire/EvidenceDeduplicator.java
+++ b/wire/src/main/java/org/mustardlatch/wire/EvidenceDeduplicator.java
@@ -28,6 +28,10 @@
       }
       oldest.remove();
     }
+    if (message instanceof EvidenceMessage.CrashReport report) {
+      // The next time that one of these requests is cleared is no repetition.
+      report.running().forEach(f -> receivedAt.remove(new EvidenceMessage.Cleared(f)));
+    }
     return receivedAt.putIfAbsent(message, now) == null;
   }
 
