--- a/core/src/main/java/org/mustardlatch/core/balancing/RetryBudget.java
+++ b/core/src/main/java/org/mustardlatch/core/balancing/RetryBudget.java
@@ -43,7 +43,17 @@
 
   /** Acquires one unit; returns false if there is none. */
   public boolean tryAcquire() {
-    if (units < 1) {
+    return tryAcquireAbove(0);
+  }
+
+  /**
+   * Acquires one unit if enough others remain.
+   *
+   * @param reserve units that must remain, at least 0
+   * @return whether a unit was acquired
+   */
+  public boolean tryAcquireAbove(double reserve) {
+    if (units < 1 + reserve) {
       return false;
     }
     units -= 1;
--- a/core/src/main/java/org/mustardlatch/core/peer/EvidenceMessage.java
+++ b/core/src/main/java/org/mustardlatch/core/peer/EvidenceMessage.java
@@ -15,8 +15,16 @@
     }
   }
 
-  /** Requests permission to run a suspect fingerprint from its owner. */
-  record RunRequest(Fingerprint fingerprint, String attempt) implements EvidenceMessage {}
+  /**
+   * Requests permission to run a suspect fingerprint from its owner.
+   *
+   * @param group suspects of one group run one at a time; empty for no group
+   */
+  record RunRequest(Fingerprint fingerprint, String attempt, String group)
+      implements EvidenceMessage {}
+
+  /** Reports that a permitted run ended, neither by a crash nor by completing. */
+  record RunEnded(Fingerprint fingerprint, String attempt) implements EvidenceMessage {}
 
   /** Responds to a {@link RunRequest}. */
   record RunPermission(Fingerprint fingerprint, String attempt, Verdict verdict)
--- a/core/src/main/java/org/mustardlatch/core/quarantine/CrashEvidence.java
+++ b/core/src/main/java/org/mustardlatch/core/quarantine/CrashEvidence.java
@@ -1,5 +1,6 @@
 package org.mustardlatch.core.quarantine;
 
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -8,17 +9,20 @@
 import org.mustardlatch.core.model.Fingerprint;
 
 /**
- * Record that one node keeps of the request contents (fingerprints) that were running on engines
- * when they crashed. Two different crashes quarantine a fingerprint. Evidence expires 10 minutes
- * after the last crash.
+ * Record that one node keeps of the request contents (fingerprints) that were running on upstreams
+ * when they crashed. Two different crashes quarantine a fingerprint if one of them cannot be
+ * attributed to another one, three in any case. Evidence expires 10 minutes after the last crash.
  */
 public final class CrashEvidence {
   /** Lifetime of evidence and quarantine after the last crash, nanoseconds. */
   public static final long LIFETIME_NANOS = 600_000_000_000L;
 
-  /** Number of different crashes after which a fingerprint is quarantined. */
+  /** Number of different crashes after which a fingerprint is quarantined if it is the only one. */
   public static final int QUARANTINE_CRASHES = 2;
 
+  /** Number of different crashes after which a fingerprint is quarantined in any case. */
+  public static final int CERTAIN_CRASHES = 3;
+
   /** Maximum number of fingerprints; beyond that the oldest evidence is dropped. */
   public static final int MAX_FINGERPRINTS = 20_000;
 
@@ -26,7 +30,7 @@
   public enum SuspicionLevel {
     /** No crash is on record. */
     CLEAN,
-    /** The fingerprint was running on one engine that crashed, possibly along with others. */
+    /** The fingerprint was running on an upstream that crashed, possibly along with others. */
     SUSPECT,
     /** The fingerprint must not run. */
     QUARANTINED
@@ -38,28 +42,31 @@
   }
 
   private final LinkedHashMap<Fingerprint, Entry> entries = new LinkedHashMap<>();
+  private final Map<String, Set<Fingerprint>> runningByCrash = new HashMap<>();
 
   /** Creates an empty record. */
   public CrashEvidence() {}
 
   /**
-   * Records that an engine crashed while it ran these fingerprints. The same crash counts once,
-   * even if it is reported several times.
+   * Records that an upstream crashed while it ran these fingerprints. The same crash counts once
+   * for each of them, even if it is reported several times; later reports may add fingerprints.
    *
    * @param crashId identifier of the crash, unique in the fleet
    * @param nowNanos monotonic time of this node
    */
   public void recordCrash(String crashId, List<Fingerprint> running, long nowNanos) {
     for (Fingerprint f : running) {
-      Entry e = entries.remove(f);
-      if (e == null || isExpired(e, nowNanos)) {
-        e = new Entry();
+      Entry known = entries.get(f);
+      if (known != null && isExpired(known, nowNanos)) {
+        remove(f);
       }
-      if (e.crashIds.size() < QUARANTINE_CRASHES) {
-        e.crashIds.add(crashId);
+      // Entries are ordered by their last crash, so the eldest one is the first to expire.
+      known = entries.remove(f);
+      Entry e = known == null ? new Entry() : known;
+      if (e.crashIds.size() < CERTAIN_CRASHES && e.crashIds.add(crashId)) {
+        runningByCrash.computeIfAbsent(crashId, id -> new HashSet<>()).add(f);
       }
       e.lastCrashNanos = nowNanos;
-      // Entries are ordered by their last crash, so the eldest one is the first to expire.
       entries.put(f, e);
     }
     evictOldest(nowNanos);
@@ -71,20 +78,38 @@
     if (e == null || isExpired(e, nowNanos)) {
       return SuspicionLevel.CLEAN;
     }
-    return e.crashIds.size() >= QUARANTINE_CRASHES
-        ? SuspicionLevel.QUARANTINED
-        : SuspicionLevel.SUSPECT;
+    int crashes = e.crashIds.size();
+    boolean quarantined =
+        crashes >= CERTAIN_CRASHES
+            || (crashes >= QUARANTINE_CRASHES
+                && e.crashIds.stream().anyMatch(id -> isOnlyCause(fingerprint, id)));
+    return quarantined ? SuspicionLevel.QUARANTINED : SuspicionLevel.SUSPECT;
+  }
+
+  /** Returns whether no other fingerprint of a crash was running in another crash too. */
+  private boolean isOnlyCause(Fingerprint fingerprint, String crashId) {
+    for (Fingerprint f : runningByCrash.getOrDefault(crashId, Set.of())) {
+      Entry other = entries.get(f);
+      if (!f.equals(fingerprint) && other != null && other.crashIds.size() >= QUARANTINE_CRASHES) {
+        return false;
+      }
+    }
+    return true;
   }
 
   /**
    * Removes the evidence against a suspect that ran to completion without a crash; a quarantine
    * stays.
+   *
+   * @param nowNanos monotonic time of this node
+   * @return whether no evidence against the fingerprint remains
    */
-  public void clear(Fingerprint fingerprint) {
-    Entry e = entries.get(fingerprint);
-    if (e != null && e.crashIds.size() < QUARANTINE_CRASHES) {
-      entries.remove(fingerprint);
+  public boolean clear(Fingerprint fingerprint, long nowNanos) {
+    if (suspicionLevel(fingerprint, nowNanos) == SuspicionLevel.QUARANTINED) {
+      return false;
     }
+    remove(fingerprint);
+    return true;
   }
 
   /** Returns the number of fingerprints with evidence. */
@@ -92,6 +117,25 @@
     return entries.size();
   }
 
+  private void remove(Fingerprint fingerprint) {
+    Entry e = entries.remove(fingerprint);
+    if (e != null) {
+      forgetCrashes(fingerprint, e);
+    }
+  }
+
+  private void forgetCrashes(Fingerprint fingerprint, Entry e) {
+    for (String id : e.crashIds) {
+      Set<Fingerprint> running = runningByCrash.get(id);
+      if (running != null) {
+        running.remove(fingerprint);
+        if (running.isEmpty()) {
+          runningByCrash.remove(id);
+        }
+      }
+    }
+  }
+
   private void evictOldest(long nowNanos) {
     var eldest = entries.entrySet().iterator();
     while (eldest.hasNext()) {
@@ -100,6 +144,7 @@
         return;
       }
       eldest.remove();
+      forgetCrashes(e.getKey(), e.getValue());
     }
   }
 
--- a/core/src/main/java/org/mustardlatch/core/routing/AttemptStarter.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/AttemptStarter.java
@@ -4,9 +4,7 @@
 import java.util.List;
 import org.jspecify.annotations.Nullable;
 import org.mustardlatch.core.error.ErrorCode;
-import org.mustardlatch.core.model.HostId;
 import org.mustardlatch.core.model.RegionId;
-import org.mustardlatch.core.peer.EvidenceMessage.RunRequest;
 import org.mustardlatch.core.peer.EvidenceMessage.Verdict;
 import org.mustardlatch.core.quarantine.CrashEvidence;
 import org.mustardlatch.core.quarantine.CrashEvidence.SuspicionLevel;
@@ -17,9 +15,6 @@
  * was on an engine that crashed.
  */
 final class AttemptStarter {
-  private static final long PERMISSION_TIMEOUT_NANOS = 100_000_000;
-  private static final long PERMISSION_RETRY_NANOS = 200_000_000;
-  private static final int MAX_PERMISSION_REQUESTS = 3;
   private static final int MAX_LOCAL_CELLS = 2;
   // Time to process messages that arrived during a pause, mainly leaving notices, before new work
   // starts.
@@ -37,7 +32,7 @@
   private final CommandCollector commands;
   private final NodeSettings settings;
   private final CrashEvidence evidence;
-  private final CrashEvidenceCoordinator evidenceCoordinator;
+  private final RunPermissionClient permissionClient;
   private final CellChooser cellChooser;
   private final CrossRegionPolicy crossRegionPolicy;
   private final AttemptDriver driver;
@@ -50,7 +45,7 @@
 
   AttemptStarter(
       CellAdmission.Environment env,
-      CrashEvidenceCoordinator evidenceCoordinator,
+      RunPermissionClient permissionClient,
       CellChooser cellChooser,
       CrossRegionPolicy crossRegionPolicy,
       AttemptDriver driver,
@@ -59,7 +54,7 @@
     this.commands = env.commands();
     this.settings = env.settings();
     this.evidence = env.evidence();
-    this.evidenceCoordinator = evidenceCoordinator;
+    this.permissionClient = permissionClient;
     this.cellChooser = cellChooser;
     this.crossRegionPolicy = crossRegionPolicy;
     this.driver = driver;
@@ -184,55 +179,29 @@
     }
   }
 
-  /**
-   * Requests the permission to run a suspect from an owner of its fingerprint, a node that
-   * rendezvous hashing selects to grant these permissions.
-   */
-  void requestPermission(EntryRequest q) {
+  private void requestPermission(EntryRequest q) {
     q.awaitsPermission = true;
-    List<HostId> owners = evidenceCoordinator.ownersOf(q.request.fingerprint());
-    if (owners.isEmpty() || q.permissionRequests >= MAX_PERMISSION_REQUESTS) {
-      // No owner exists or none responded. The admitting node still runs suspects apart from other
-      // requests.
-      startPermitted(q);
-      return;
-    }
-    HostId owner = owners.get(q.permissionRequests % owners.size());
-    q.permissionRequests++;
-    commands.send(owner, new RunRequest(q.request.fingerprint(), q.request.id().value()));
-    commands.setTimer(
-        RequestCoordinator.TIMER_KIND,
-        q.request.id().value(),
-        commands.now() + PERMISSION_TIMEOUT_NANOS);
+    long deadline =
+        q.tokensSent == 0 ? q.request.firstTokenDeadlineNanos() : q.request.finalDeadlineNanos();
+    permissionClient.request(
+        q.request.id(), q.request.fingerprint(), "", deadline, v -> handleVerdict(q, v));
   }
 
-  /** Handles the verdict of the owner of a suspect fingerprint. */
-  void handleVerdict(EntryRequest q, Verdict verdict) {
-    if (q.awaitsPermission) {
-      switch (verdict) {
-        case RUN -> startPermitted(q);
-        case QUARANTINED -> refuseQuarantined(q);
-        case WAIT -> {
-          q.permissionRequests = 0;
-          if (commands.now() >= q.request.firstTokenDeadlineNanos()) {
-            callbacks.refuse(
-                q,
-                ErrorCode.OVERLOADED,
-                "the same request is being examined",
-                RequestCoordinator.RETRY_AFTER);
-          } else {
-            commands.setTimer(
-                RequestCoordinator.TIMER_KIND,
-                q.request.id().value(),
-                commands.now() + PERMISSION_RETRY_NANOS);
-          }
-        }
-      }
+  private void handleVerdict(EntryRequest q, Verdict verdict) {
+    q.awaitsPermission = false;
+    switch (verdict) {
+      case RUN -> startPermitted(q);
+      case QUARANTINED -> refuseQuarantined(q);
+      case WAIT ->
+          callbacks.refuse(
+              q,
+              ErrorCode.OVERLOADED,
+              "the same request is being examined",
+              RequestCoordinator.RETRY_AFTER);
     }
   }
 
   private void startPermitted(EntryRequest q) {
-    q.awaitsPermission = false;
     q.suspectRunPermitted = true;
     q.ranAsSuspect = true;
     commands.explain(q.request.id(), "suspect_permitted", "one attempt after a crash");
--- a/core/src/main/java/org/mustardlatch/core/routing/CrashEvidenceCoordinator.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/CrashEvidenceCoordinator.java
@@ -1,13 +1,18 @@
 package org.mustardlatch.core.routing;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
 import org.mustardlatch.core.model.Fingerprint;
 import org.mustardlatch.core.model.HostId;
 import org.mustardlatch.core.model.UpstreamId;
 import org.mustardlatch.core.peer.EvidenceMessage;
 import org.mustardlatch.core.peer.EvidenceMessage.Cleared;
 import org.mustardlatch.core.peer.EvidenceMessage.CrashReport;
+import org.mustardlatch.core.peer.EvidenceMessage.RunEnded;
 import org.mustardlatch.core.peer.EvidenceMessage.RunPermission;
 import org.mustardlatch.core.peer.EvidenceMessage.RunRequest;
 import org.mustardlatch.core.peer.EvidenceMessage.Verdict;
@@ -27,7 +32,26 @@
   // evidence.
   private static final int MAX_RECENT_REPORTS = 200;
 
-  private record RecentReport(CrashReport report, long receivedNanos) {}
+  // One message to a node may be lost, for example with a connection that has gone silent.
+  private static final int MAX_BROADCASTS = 4;
+  private static final long BROADCAST_INTERVAL_NANOS = 1_000_000_000L;
+
+  /** A report, with the crash that it is counted as. */
+  private static final class RecentReport {
+    final long receivedNanos;
+    final String crashId;
+    // Includes fingerprints that were cleared since, which a late repetition must not add again.
+    final Set<Fingerprint> counted = new HashSet<>();
+    CrashReport report;
+    int remainingBroadcasts;
+    long nextBroadcastNanos;
+
+    RecentReport(CrashReport report, String crashId, long receivedNanos) {
+      this.report = report;
+      this.crashId = crashId;
+      this.receivedNanos = receivedNanos;
+    }
+  }
 
   private final CommandCollector commands;
   private final CrashEvidence evidence;
@@ -55,24 +79,60 @@
   public void engineCrashed(UpstreamId upstream, List<Fingerprint> running) {
     crashCount++;
     String id = commands.self() + "/" + incarnation + "/" + crashCount;
-    CrashReport report = new CrashReport(upstream, id, running);
-    recordReport(report);
-    broadcast(report);
+    crashDetected(new CrashReport(upstream, id, running));
+  }
+
+  /**
+   * Records a crash that this node detected and broadcasts it, several times. Reports of several
+   * nodes with the same identifier are of one crash.
+   */
+  void crashDetected(CrashReport report) {
+    RecentReport recorded = recordReport(report);
+    recorded.remainingBroadcasts = MAX_BROADCASTS;
+    recorded.nextBroadcastNanos = commands.now();
+    broadcastDueReports();
+  }
+
+  private void broadcastDueReports() {
+    for (RecentReport r : recentReports) {
+      if (r.remainingBroadcasts > 0 && commands.now() >= r.nextBroadcastNanos) {
+        r.remainingBroadcasts--;
+        r.nextBroadcastNanos = commands.now() + BROADCAST_INTERVAL_NANOS;
+        broadcast(r.report);
+      }
+    }
   }
 
   /** Clears, on every node, the fingerprint of a suspect request that finished without a crash. */
   void clearSuspect(Fingerprint fingerprint) {
-    evidence.clear(fingerprint);
-    suspectRuns.runEnded(fingerprint);
+    clear(fingerprint);
     broadcast(new Cleared(fingerprint));
   }
 
+  private void clear(Fingerprint fingerprint) {
+    suspectRuns.runEnded(fingerprint);
+    if (evidence.clear(fingerprint, commands.now())) {
+      for (RecentReport r : recentReports) {
+        r.report = withoutFingerprint(r.report, fingerprint);
+      }
+    }
+  }
+
+  private static CrashReport withoutFingerprint(CrashReport report, Fingerprint fingerprint) {
+    if (!report.running().contains(fingerprint)) {
+      return report;
+    }
+    List<Fingerprint> running = new ArrayList<>(report.running());
+    running.remove(fingerprint);
+    return new CrashReport(report.upstream(), report.crashId(), running);
+  }
+
   /**
-   * Returns the live nodes ranked for a fingerprint: its owner, then the nodes that replace it if
-   * it does not respond.
+   * Returns the live nodes ranked for a fingerprint or a group of suspects: its owner, then the
+   * nodes that replace it if it does not respond.
    */
-  List<HostId> ownersOf(Fingerprint fingerprint) {
-    return topology.rankedOwners(fingerprint.value());
+  List<HostId> ownersOf(String key) {
+    return topology.rankedOwners(key);
   }
 
   /**
@@ -82,15 +142,14 @@
   void handle(HostId from, EvidenceMessage message) {
     switch (message) {
       case CrashReport r -> recordReport(r);
-      case Cleared c -> {
-        evidence.clear(c.fingerprint());
-        suspectRuns.runEnded(c.fingerprint());
-      }
+      case Cleared c -> clear(c.fingerprint());
+      case RunEnded r -> suspectRuns.runEnded(r.fingerprint(), r.attempt());
       case RunRequest r -> {
         Verdict verdict =
             suspectRuns.requestRun(
                 r.fingerprint(),
                 r.attempt(),
+                r.group(),
                 evidence.suspicionLevel(r.fingerprint(), commands.now()),
                 commands.now());
         commands.send(from, new RunPermission(r.fingerprint(), r.attempt(), verdict));
@@ -100,10 +159,11 @@
     }
   }
 
-  /** Drops expired permissions and reports. */
+  /** Repeats recent reports, and drops expired permissions and reports. */
   void tick() {
     suspectRuns.expire(commands.now());
-    recentReports.removeIf(r -> commands.now() - r.receivedNanos() >= CrashEvidence.LIFETIME_NANOS);
+    recentReports.removeIf(r -> commands.now() - r.receivedNanos >= CrashEvidence.LIFETIME_NANOS);
+    broadcastDueReports();
   }
 
   /** Sends a message to all other live nodes. */
@@ -117,37 +177,63 @@
 
   /** Sends the recent crash reports to a node that joined. */
   void sendRecentReports(HostId host) {
-    recentReports.forEach(r -> commands.send(host, r.report()));
+    recentReports.forEach(r -> commands.send(host, r.report));
   }
 
-  /** Records a report once. A second node's report of a crash gets the crash ID of the first. */
-  private void recordReport(CrashReport report) {
+  /**
+   * Records a report. A repeated one may name further fingerprints. A second node's report of a
+   * crash of the same engine gets the crash ID of the first.
+   */
+  private RecentReport recordReport(CrashReport report) {
     long now = commands.now();
-    if (recentReports.stream().anyMatch(r -> r.report().crashId().equals(report.crashId()))) {
-      return;
+    RecentReport recorded = find(report.crashId());
+    if (recorded == null) {
+      recorded =
+          new RecentReport(
+              new CrashReport(report.upstream(), report.crashId(), List.of()),
+              countedCrashId(report, now),
+              now);
+      if (recentReports.size() == MAX_RECENT_REPORTS) {
+        recentReports.removeFirst();
+      }
+      recentReports.addLast(recorded);
     }
-    String crashId = report.crashId();
-    for (RecentReport r : recentReports) {
-      boolean sameEngine = r.report().upstream().equals(report.upstream());
-      if (sameEngine
-          && now - r.receivedNanos() < DUPLICATE_REPORT_NANOS
-          && !isSameReporter(r, report)) {
-        crashId = r.report().crashId();
+    List<Fingerprint> added = new ArrayList<>();
+    for (Fingerprint f : report.running()) {
+      if (recorded.counted.add(f)) {
+        added.add(f);
       }
     }
-    if (recentReports.size() == MAX_RECENT_REPORTS) {
-      recentReports.removeFirst();
+    evidence.recordCrash(recorded.crashId, added, now);
+    added.forEach(suspectRuns::runEnded);
+    added.addAll(recorded.report.running());
+    recorded.report = new CrashReport(report.upstream(), report.crashId(), added);
+    return recorded;
+  }
+
+  private @Nullable RecentReport find(String crashId) {
+    for (RecentReport r : recentReports) {
+      if (r.report.crashId().equals(crashId)) {
+        return r;
+      }
     }
-    recentReports.addLast(new RecentReport(report, now));
-    evidence.recordCrash(crashId, report.running(), now);
-    report.running().forEach(suspectRuns::runEnded);
+    return null;
   }
 
-  private static boolean isSameReporter(RecentReport earlier, CrashReport report) {
-    return reporter(earlier.report().crashId()).equals(reporter(report.crashId()));
+  /** Returns the ID of the crash that a new report is counted as. */
+  private String countedCrashId(CrashReport report, long now) {
+    for (RecentReport r : recentReports) {
+      boolean sameEngine = r.report.upstream().equals(report.upstream());
+      if (sameEngine
+          && now - r.receivedNanos < DUPLICATE_REPORT_NANOS
+          && !reporter(r.report.crashId()).equals(reporter(report.crashId()))) {
+        return r.crashId;
+      }
+    }
+    return report.crashId();
   }
 
-  /** Returns the host ID at the start of a crash ID. */
+  /** Returns the part of a crash ID before the first slash, which names its reporter. */
   private static String reporter(String crashId) {
     int slash = crashId.indexOf('/');
     return slash < 0 ? crashId : crashId.substring(0, slash);
--- a/core/src/main/java/org/mustardlatch/core/routing/EntryRequest.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/EntryRequest.java
@@ -36,9 +36,6 @@
   /** Whether the permission to run as a suspect was granted and not used up by a crash. */
   boolean suspectRunPermitted;
 
-  /** Permission requests sent since the last WAIT verdict. */
-  int permissionRequests;
-
   /** Whether an attempt ran with the permission for a suspect. */
   boolean ranAsSuspect;
 
--- a/core/src/main/java/org/mustardlatch/core/routing/NodeRouter.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/NodeRouter.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
+import org.mustardlatch.core.model.Fingerprint;
 import org.mustardlatch.core.model.HostId;
 import org.mustardlatch.core.model.RegionId;
 import org.mustardlatch.core.model.UpstreamId;
@@ -11,10 +13,13 @@
 import org.mustardlatch.core.peer.AdmissionMessage.ReserveQueued;
 import org.mustardlatch.core.peer.AdmissionMessage.ReserveRefused;
 import org.mustardlatch.core.peer.EvidenceMessage;
+import org.mustardlatch.core.peer.EvidenceMessage.CrashReport;
 import org.mustardlatch.core.peer.EvidenceMessage.LeavingNotice;
 import org.mustardlatch.core.peer.EvidenceMessage.RunPermission;
+import org.mustardlatch.core.peer.EvidenceMessage.Verdict;
 import org.mustardlatch.core.peer.PeerMessage;
 import org.mustardlatch.core.quarantine.CrashEvidence;
+import org.mustardlatch.core.quarantine.CrashEvidence.SuspicionLevel;
 
 /**
  * Makes the routing decisions of one node for generation requests. A node is the entry node of its
@@ -37,6 +42,7 @@
   private final PauseDetector pauseDetector = new PauseDetector();
   private final LeavingUpstreams leavingUpstreams = new LeavingUpstreams();
   private final CrashEvidenceCoordinator evidenceCoordinator;
+  private final RunPermissionClient permissionClient;
   private final AdmissionController admissionController;
   private final RequestCoordinator requestCoordinator;
   private final OrphanedAttemptSweeper orphanSweeper;
@@ -64,9 +70,10 @@
         new CrashEvidenceCoordinator(commands, evidence, topology, incarnation);
     this.admissionController =
         new AdmissionController(environment, evidenceCoordinator, leavingUpstreams, topology);
+    this.permissionClient = new RunPermissionClient(commands, evidenceCoordinator);
     this.requestCoordinator =
         new RequestCoordinator(
-            environment, evidenceCoordinator, leavingUpstreams, region, topology);
+            environment, evidenceCoordinator, permissionClient, leavingUpstreams, region, topology);
     this.orphanSweeper = new OrphanedAttemptSweeper(commands, topology);
   }
 
@@ -84,6 +91,14 @@
     return admissionController.admittedEngines();
   }
 
+  /**
+   * Returns whether any content was running on an upstream that crashed. If not, application
+   * requests may run without {@link RoutingEvent.ApplicationRunRequested}.
+   */
+  public boolean hasCrashEvidence() {
+    return evidence.size() > 0;
+  }
+
   /** Returns the number of requests of this node's callers without a final response. */
   public int openRequests() {
     return requestCoordinator.requestCount();
@@ -144,10 +159,42 @@
       case RoutingEvent.MembersChanged e -> membersChanged(e.members());
       case RoutingEvent.UpstreamLeaving e -> upstreamLeaving(e.upstream());
       case RoutingEvent.TimerFired e -> timerFired(e.key());
+      case RoutingEvent.ApplicationRunRequested e -> decideRun(e);
+      case RoutingEvent.ApplicationRunEnded e ->
+          permissionClient.release(e.request(), e.fingerprint(), e.service());
+      case RoutingEvent.ApplicationRunCompleted e -> {
+        clearSuspect(e.fingerprint());
+        permissionClient.release(e.request(), e.fingerprint(), e.service());
+      }
+      case RoutingEvent.UpstreamCrashed e ->
+          evidenceCoordinator.crashDetected(
+              new CrashReport(e.upstream(), e.crashId(), e.running()));
       case RoutingEvent.DrainRequested e -> requestCoordinator.startDraining();
     }
   }
 
+  private void decideRun(RoutingEvent.ApplicationRunRequested e) {
+    switch (evidence.suspicionLevel(e.fingerprint(), commands.now())) {
+      case CLEAN -> runDecided(e, Verdict.RUN);
+      case QUARANTINED -> runDecided(e, Verdict.QUARANTINED);
+      case SUSPECT ->
+          permissionClient.request(
+              e.request(), e.fingerprint(), e.service(), e.waitUntilNanos(), v -> runDecided(e, v));
+    }
+  }
+
+  private void runDecided(RoutingEvent.ApplicationRunRequested e, Verdict verdict) {
+    boolean suspect =
+        evidence.suspicionLevel(e.fingerprint(), commands.now()) == SuspicionLevel.SUSPECT;
+    commands.emit(new RoutingCommand.DecideApplicationRun(e.request(), verdict, suspect));
+  }
+
+  private void clearSuspect(Fingerprint fingerprint) {
+    if (evidence.suspicionLevel(fingerprint, commands.now()) == SuspicionLevel.SUSPECT) {
+      evidenceCoordinator.clearSuspect(fingerprint);
+    }
+  }
+
   private void peerMessageReceived(HostId from, PeerMessage message) {
     switch (message) {
       case ReserveGranted m -> requestCoordinator.reservationGranted(from, m);
@@ -155,7 +202,7 @@
       case ReserveRefused m -> requestCoordinator.reservationRefused(m);
       case AdmissionMessage.CellSummary m -> requestCoordinator.recordSummary(m);
       case AdmissionMessage m -> admissionController.handle(from, m);
-      case RunPermission m -> requestCoordinator.permissionReceived(m);
+      case RunPermission m -> permissionClient.permissionReceived(m);
       case LeavingNotice m -> leavingUpstreams.recordRemoteSignal(m.upstream(), commands.now());
       case EvidenceMessage m -> evidenceCoordinator.handle(from, m);
       default -> {
@@ -192,7 +239,7 @@
     members = next;
     topologyChanged();
     for (Member m : next) {
-      if (before.member(m.host()) == null && isIntroducerOf(m)) {
+      if (isNewStart(before.member(m.host()), m) && isIntroducerOf(m)) {
         leavingUpstreams
             .listActive(commands.now())
             .forEach(u -> commands.send(m.host(), new LeavingNotice(u)));
@@ -201,6 +248,11 @@
     }
   }
 
+  /** Returns whether a member has joined, or has restarted and lost what it was told before. */
+  private static boolean isNewStart(@Nullable Member before, Member now) {
+    return before == null || before.incarnation() < now.incarnation();
+  }
+
   /** Returns whether this node is one of those that send earlier notices to a joining node. */
   private boolean isIntroducerOf(Member joining) {
     List<HostId> order = topology.rankedOwners(joining.host().value());
@@ -220,6 +272,7 @@
     switch (key.kind()) {
       case TICK_TIMER -> tick();
       case CELL_TIMER -> admissionController.tick(key.subject());
+      case RunPermissionClient.TIMER_KIND -> permissionClient.timerFired(key.subject());
       case RequestCoordinator.TIMER_KIND -> requestCoordinator.timerFired(key.subject());
       default -> throw new IllegalArgumentException("unknown timer " + key);
     }
--- a/core/src/main/java/org/mustardlatch/core/routing/RequestCoordinator.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/RequestCoordinator.java
@@ -18,7 +18,6 @@
 import org.mustardlatch.core.peer.AdmissionMessage.ReserveQueued;
 import org.mustardlatch.core.peer.AdmissionMessage.ReserveRefused;
 import org.mustardlatch.core.peer.AdmissionMessage.Stage;
-import org.mustardlatch.core.peer.EvidenceMessage.RunPermission;
 import org.mustardlatch.core.quarantine.CrashEvidence;
 import org.mustardlatch.core.quarantine.CrashEvidence.SuspicionLevel;
 import org.mustardlatch.core.routing.RequestTable.LiveAttempt;
@@ -49,6 +48,7 @@
   private final NodeSettings settings;
   private final CrashEvidence evidence;
   private final CrashEvidenceCoordinator evidenceCoordinator;
+  private final RunPermissionClient permissionClient;
   private final LeavingUpstreams leavingUpstreams;
   private final RegionId region;
   private final RetryAfterJitter retryAfterJitter;
@@ -67,6 +67,7 @@
   RequestCoordinator(
       CellAdmission.Environment env,
       CrashEvidenceCoordinator evidenceCoordinator,
+      RunPermissionClient permissionClient,
       LeavingUpstreams leavingUpstreams,
       RegionId region,
       Topology topology) {
@@ -74,6 +75,7 @@
     this.settings = env.settings();
     this.evidence = env.evidence();
     this.evidenceCoordinator = evidenceCoordinator;
+    this.permissionClient = permissionClient;
     this.leavingUpstreams = leavingUpstreams;
     this.region = region;
     this.deadlines = new AttemptDeadlines(settings, region);
@@ -84,7 +86,7 @@
     this.driver = new AttemptDriver(commands, region, topology);
     this.starter =
         new AttemptStarter(
-            env, evidenceCoordinator, cellChooser, crossRegionPolicy, driver, region, this);
+            env, permissionClient, cellChooser, crossRegionPolicy, driver, region, this);
   }
 
   int requestCount() {
@@ -463,13 +465,6 @@
     }
   }
 
-  void permissionReceived(RunPermission response) {
-    EntryRequest q = requests.findByIdText(response.attempt());
-    if (q != null) {
-      starter.handleVerdict(q, response.verdict());
-    }
-  }
-
   void timerFired(String subject) {
     EntryRequest q = requests.findByIdText(subject);
     if (q != null) {
@@ -484,11 +479,6 @@
       return;
     }
     if (q.awaitsPermission) {
-      if (q.tokensSent == 0 && now >= q.request.firstTokenDeadlineNanos()) {
-        refuse(q, ErrorCode.OVERLOADED, "the same request is being examined", RETRY_AFTER);
-      } else {
-        starter.requestPermission(q);
-      }
       return;
     }
     if (q.current == null) {
@@ -693,6 +683,7 @@
     q.current = null;
     q.hedge = null;
     requests.remove(q.request.id());
+    permissionClient.cancel(q.request.id());
     commands.emit(new RoutingCommand.CancelTimer(new TimerKey(TIMER_KIND, q.request.id().value())));
   }
 }
--- a/core/src/main/java/org/mustardlatch/core/routing/RoutingCommand.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/RoutingCommand.java
@@ -6,6 +6,7 @@
 import org.mustardlatch.core.model.HostId;
 import org.mustardlatch.core.model.RequestId;
 import org.mustardlatch.core.model.UpstreamId;
+import org.mustardlatch.core.peer.EvidenceMessage.Verdict;
 import org.mustardlatch.core.peer.PeerMessage;
 
 /** An action that a {@link RoutingPolicy} requests from the node that runs it. */
@@ -53,6 +54,15 @@
   record Refuse(RequestId request, ErrorCode code, String detail, Duration retryAfter)
       implements RoutingCommand {}
 
+  /**
+   * Send an application request, or refuse it.
+   *
+   * @param verdict {@link Verdict#WAIT} if the deadline passed while the same content was running
+   * @param suspect whether the content was running on an upstream that crashed
+   */
+  record DecideApplicationRun(RequestId request, Verdict verdict, boolean suspect)
+      implements RoutingCommand {}
+
   /** End the caller's stream successfully. */
   record Complete(RequestId request) implements RoutingCommand {}
 
--- a/core/src/main/java/org/mustardlatch/core/routing/RoutingEvent.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/RoutingEvent.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import org.mustardlatch.core.manifest.Manifest;
 import org.mustardlatch.core.model.AttemptId;
+import org.mustardlatch.core.model.Fingerprint;
 import org.mustardlatch.core.model.HostId;
 import org.mustardlatch.core.model.RequestId;
 import org.mustardlatch.core.model.UpstreamId;
@@ -40,6 +41,42 @@
   /** A decode failed. */
   record DecodeFailed(AttemptId attempt, Failure failure) implements RoutingEvent {}
 
+  /**
+   * An application request is about to be sent to an upstream. Answered by {@link
+   * RoutingCommand.DecideApplicationRun}.
+   *
+   * @param service service that the request is for; its suspects run one at a time
+   * @param waitUntilNanos monotonic time until which the request may wait for others to end
+   */
+  record ApplicationRunRequested(
+      RequestId request, Fingerprint fingerprint, String service, long waitUntilNanos)
+      implements RoutingEvent {}
+
+  /**
+   * An application request that waited for the answer to {@link ApplicationRunRequested}, or ran as
+   * a suspect, has ended without a crash and without a response.
+   */
+  record ApplicationRunEnded(RequestId request, Fingerprint fingerprint, String service)
+      implements RoutingEvent {}
+
+  /** An upstream responded to an application request that ran as a suspect. */
+  record ApplicationRunCompleted(RequestId request, Fingerprint fingerprint, String service)
+      implements RoutingEvent {}
+
+  /**
+   * An upstream crashed.
+   *
+   * @param crashId identifier of the crash, the same on all nodes
+   * @param running the requests of this node that were running on the upstream
+   */
+  record UpstreamCrashed(UpstreamId upstream, String crashId, List<Fingerprint> running)
+      implements RoutingEvent {
+    /** Copies the list. */
+    public UpstreamCrashed {
+      running = List.copyOf(running);
+    }
+  }
+
   /** An engine reported its load. */
   record LoadReported(UpstreamId upstream, LoadReport report) implements RoutingEvent {}
 
--- a/core/src/test/java/org/mustardlatch/core/quarantine/CrashEvidenceTest.java
+++ b/core/src/test/java/org/mustardlatch/core/quarantine/CrashEvidenceTest.java
@@ -32,6 +32,47 @@
     assertThat(evidence.suspicionLevel(OTHER, 1)).isEqualTo(SuspicionLevel.SUSPECT);
   }
 
+  @Test
+  void requestsThatWereOnTheSameTwoCrashesAreToldApartByTheNextOne() {
+    evidence.recordCrash("c1", List.of(CRASHING, OTHER), 0);
+    evidence.recordCrash("c2", List.of(CRASHING, OTHER), 1);
+    assertThat(evidence.suspicionLevel(CRASHING, 1)).isEqualTo(SuspicionLevel.SUSPECT);
+    assertThat(evidence.suspicionLevel(OTHER, 1)).isEqualTo(SuspicionLevel.SUSPECT);
+
+    evidence.recordCrash("c3", List.of(CRASHING), 2);
+    assertThat(evidence.suspicionLevel(CRASHING, 2)).isEqualTo(SuspicionLevel.QUARANTINED);
+    assertThat(evidence.suspicionLevel(OTHER, 2)).isEqualTo(SuspicionLevel.SUSPECT);
+  }
+
+  @Test
+  void innocentRequestThatCompletesLeavesTheOtherAsTheOnlyCause() {
+    evidence.recordCrash("c1", List.of(CRASHING, OTHER), 0);
+    evidence.recordCrash("c2", List.of(CRASHING, OTHER), 1);
+
+    assertThat(evidence.clear(OTHER, 2)).isTrue();
+
+    assertThat(evidence.suspicionLevel(CRASHING, 2)).isEqualTo(SuspicionLevel.QUARANTINED);
+    assertThat(evidence.suspicionLevel(OTHER, 2)).isEqualTo(SuspicionLevel.CLEAN);
+  }
+
+  @Test
+  void threeCrashesQuarantineARequestEvenIfItWasNeverAlone() {
+    for (String crash : List.of("c1", "c2", "c3")) {
+      evidence.recordCrash(crash, List.of(CRASHING, OTHER), 0);
+    }
+    assertThat(evidence.suspicionLevel(CRASHING, 0)).isEqualTo(SuspicionLevel.QUARANTINED);
+  }
+
+  @Test
+  void laterReportOfACrashAddsTheRequestsOfAnotherNode() {
+    evidence.recordCrash("c1", List.of(OTHER), 0);
+    evidence.recordCrash("c1", List.of(CRASHING), 0);
+    evidence.recordCrash("c2", List.of(CRASHING), 1);
+
+    assertThat(evidence.suspicionLevel(CRASHING, 1)).isEqualTo(SuspicionLevel.QUARANTINED);
+    assertThat(evidence.suspicionLevel(OTHER, 1)).isEqualTo(SuspicionLevel.SUSPECT);
+  }
+
   @Test
   void countsACrashReportedTwiceOnlyOnce() {
     evidence.recordCrash("c1", List.of(CRASHING), 0);
@@ -44,8 +85,8 @@
   void clearsASuspectButNotAQuarantine() {
     evidence.recordCrash("c1", List.of(CRASHING, OTHER), 0);
     evidence.recordCrash("c2", List.of(CRASHING), 0);
-    evidence.clear(CRASHING);
-    evidence.clear(OTHER);
+    assertThat(evidence.clear(CRASHING, 0)).isFalse();
+    assertThat(evidence.clear(OTHER, 0)).isTrue();
 
     assertThat(evidence.suspicionLevel(CRASHING, 0)).isEqualTo(SuspicionLevel.QUARANTINED);
     assertThat(evidence.suspicionLevel(OTHER, 0)).isEqualTo(SuspicionLevel.CLEAN);
@@ -71,20 +112,38 @@
     assertThat(evidence.suspicionLevel(fingerprint(0), 0)).isEqualTo(SuspicionLevel.CLEAN);
   }
 
+  @Test
+  void permitsOneSuspectOfAGroupAtATime() {
+    SuspectRunPermissions permissions = new SuspectRunPermissions();
+    assertThat(permissions.requestRun(CRASHING, "a", "g", SuspicionLevel.SUSPECT, 0))
+        .isEqualTo(Verdict.RUN);
+    assertThat(permissions.requestRun(OTHER, "b", "g", SuspicionLevel.SUSPECT, 1))
+        .isEqualTo(Verdict.WAIT);
+    assertThat(permissions.requestRun(OTHER, "c", "other", SuspicionLevel.SUSPECT, 2))
+        .isEqualTo(Verdict.RUN);
+
+    permissions.runEnded(CRASHING, "x");
+    assertThat(permissions.requestRun(fingerprint(3), "d", "g", SuspicionLevel.SUSPECT, 3))
+        .isEqualTo(Verdict.WAIT);
+    permissions.runEnded(CRASHING, "a");
+    assertThat(permissions.requestRun(fingerprint(3), "d", "g", SuspicionLevel.SUSPECT, 4))
+        .isEqualTo(Verdict.RUN);
+  }
+
   @Test
   void permitsOneAttemptOfASuspectAtATime() {
     SuspectRunPermissions permissions = new SuspectRunPermissions();
-    assertThat(permissions.requestRun(CRASHING, "a", SuspicionLevel.SUSPECT, 0))
+    assertThat(permissions.requestRun(CRASHING, "a", "", SuspicionLevel.SUSPECT, 0))
         .isEqualTo(Verdict.RUN);
-    assertThat(permissions.requestRun(CRASHING, "a", SuspicionLevel.SUSPECT, 1))
+    assertThat(permissions.requestRun(CRASHING, "a", "", SuspicionLevel.SUSPECT, 1))
         .isEqualTo(Verdict.RUN);
-    assertThat(permissions.requestRun(CRASHING, "b", SuspicionLevel.SUSPECT, 2))
+    assertThat(permissions.requestRun(CRASHING, "b", "", SuspicionLevel.SUSPECT, 2))
         .isEqualTo(Verdict.WAIT);
 
     permissions.runEnded(CRASHING);
-    assertThat(permissions.requestRun(CRASHING, "b", SuspicionLevel.SUSPECT, 3))
+    assertThat(permissions.requestRun(CRASHING, "b", "", SuspicionLevel.SUSPECT, 3))
         .isEqualTo(Verdict.RUN);
-    assertThat(permissions.requestRun(CRASHING, "c", SuspicionLevel.QUARANTINED, 4))
+    assertThat(permissions.requestRun(CRASHING, "c", "", SuspicionLevel.QUARANTINED, 4))
         .isEqualTo(Verdict.QUARANTINED);
   }
 }
--- a/daemon/src/main/java/org/mustardlatch/daemon/routing/RoutingService.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/routing/RoutingService.java
@@ -90,6 +90,8 @@
               .ifPresent(e -> e.sink().fail(c.code(), c.detail(), c.retryAfter()));
       case RoutingCommand.Complete c ->
           removeExchange(c.request()).ifPresent(e -> e.sink().complete());
+      case RoutingCommand.DecideApplicationRun c ->
+          throw new IllegalStateException("no application request asked for a decision: " + c);
       case RoutingCommand.SetTimer c ->
           throw new IllegalStateException("timer commands are handled by the policy runner: " + c);
       case RoutingCommand.CancelTimer c ->
--- a/gateway/src/main/java/org/mustardlatch/gateway/ApplicationRequestHandler.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/ApplicationRequestHandler.java
@@ -15,7 +15,10 @@
 import org.mustardlatch.core.balancing.Candidate;
 import org.mustardlatch.core.balancing.RetryBudget;
 import org.mustardlatch.core.error.ErrorCode;
+import org.mustardlatch.core.model.RequestId;
 import org.mustardlatch.core.model.UpstreamId;
+import org.mustardlatch.core.routing.RoutingCommand;
+import org.mustardlatch.core.routing.RoutingEvent;
 import org.mustardlatch.core.time.TimerService;
 import org.mustardlatch.core.time.TimerSubscription;
 import org.mustardlatch.gateway.config.Instance;
@@ -52,6 +55,8 @@
   private final PlatformProtocol protocol;
   private final GatewayMetrics metrics;
   private final CrashDetector crashDetector;
+  private final RunDecisions runDecisions;
+  private final Map<RequestId, ActiveRequest> awaitingDecision = new HashMap<>();
   private final IntSupplier liveNodeCount;
 
   ApplicationRequestHandler(
@@ -62,9 +67,11 @@
       RandomGenerator random,
       GatewayMetrics metrics,
       CrashDetector crashDetector,
+      RunDecisions runDecisions,
       IntSupplier liveNodeCount) {
     this.liveNodeCount = liveNodeCount;
     this.crashDetector = crashDetector;
+    this.runDecisions = runDecisions;
     this.metrics = metrics;
     this.fleet = fleet;
     this.timers = timers;
@@ -72,6 +79,7 @@
     this.protocol = protocol;
     this.random = random;
     this.networkLatency = new NetworkLatencyEstimates(settings);
+    runDecisions.onDecision(this::runDecided);
   }
 
   /** Returns the number of requests in progress. */
@@ -116,6 +124,13 @@
     return result;
   }
 
+  private void runDecided(RoutingCommand.DecideApplicationRun decision) {
+    ActiveRequest request = awaitingDecision.remove(decision.request());
+    if (request != null) {
+      request.runDecided(decision);
+    }
+  }
+
   /** A caller's request and its attempts on one or more upstreams. */
   private final class ActiveRequest {
     private final RoutedExchange exchange;
@@ -123,6 +138,10 @@
     private final List<Attempt> activeAttempts = new ArrayList<>();
     private int attemptCount;
     private int refusalCount;
+    // Reason of the next or latest attempt, for the log.
+    private String attemptReason = "first";
+    private boolean suspect;
+    private boolean closed;
     private @Nullable BufferedResponse serverError;
     private @Nullable TimerSubscription deadlineTimer;
     private @Nullable TimerSubscription slowResponseTimer;
@@ -134,7 +153,37 @@
     void sendFirstAttempt() {
       Duration remaining = Duration.ofNanos(exchange.deadlineNanos() - timers.nanos());
       deadlineTimer = timers.schedule(remaining, this::onDeadline);
-      sendToNextUpstream("first");
+      requestRun("first");
+    }
+
+    /** Sends the request once the router permits it, which it does at once without evidence. */
+    private void requestRun(String reason) {
+      attemptReason = reason;
+      if (runDecisions.required()) {
+        RequestId id = new RequestId(exchange.localId());
+        awaitingDecision.put(id, this);
+        // A caller that is refused in the middle of its time can still come back.
+        long now = timers.nanos();
+        long waitUntil = now + (exchange.deadlineNanos() - now) / 2;
+        runDecisions.handle(
+            new RoutingEvent.ApplicationRunRequested(
+                id, exchange.fingerprint(), exchange.service().name(), waitUntil));
+      } else {
+        suspect = false;
+        sendToNextUpstream();
+      }
+    }
+
+    private void runDecided(RoutingCommand.DecideApplicationRun decision) {
+      suspect = decision.suspect();
+      switch (decision.verdict()) {
+        case RUN -> sendToNextUpstream();
+        case QUARANTINED ->
+            failIfNoActiveAttempt(
+                ErrorCode.REQUEST_QUARANTINED, "upstreams crashed while they ran this content");
+        case WAIT ->
+            failIfNoActiveAttempt(ErrorCode.OVERLOADED, "the same request is being examined");
+      }
     }
 
     /**
@@ -143,18 +192,25 @@
      * @return whether the request may be sent again
      */
     private boolean acquireRetry() {
-      return exchange.route().repeatable()
-          && attemptCount < exchange.route().maxAttempts()
-          && retryBudget(exchange.service().name()).tryAcquire();
+      return mayAttemptAgain() && retryBudget(exchange.service().name()).tryAcquire();
+    }
+
+    /** Like {@link #acquireRetry}, but leaves a part of the budget for failed requests. */
+    private boolean acquireHedge() {
+      return mayAttemptAgain()
+          && retryBudget(exchange.service().name())
+              .tryAcquireAbove(RetryLimits.unitsForFailures(settings, liveNodeCount.getAsInt()));
+    }
+
+    private boolean mayAttemptAgain() {
+      return exchange.route().repeatable() && attemptCount < exchange.route().maxAttempts();
     }
 
     /**
      * Sends the request to the upstream with the shortest predicted response time among those not
      * attempted yet.
-     *
-     * @param reason reason of this attempt, for the log
      */
-    private void sendToNextUpstream(String reason) {
+    private void sendToNextUpstream() {
       long now = timers.nanos();
       Candidate c = balancer.choose(candidates(this), attemptedUpstreams, now);
       Instance target = c == null ? null : fleet.instance(c.id().value());
@@ -172,10 +228,10 @@
           exchange.callerRequestId(),
           exchange.localId(),
           target.id(),
-          reason,
+          attemptReason,
           (long) (predicted / 1_000_000),
           exchange.contentId());
-      Attempt attempt = new Attempt(c.id(), now);
+      Attempt attempt = new Attempt(target, now);
       activeAttempts.add(attempt);
       balancer.requestSent(c.id());
       attempt.call = fleet.poolFor(target).send(exchange.toUpstreamRequest(plan), attempt);
@@ -196,8 +252,8 @@
     }
 
     private void onSlowResponse() {
-      if (activeAttempts.size() == 1 && acquireRetry()) {
-        sendToNextUpstream("late_answer");
+      if (activeAttempts.size() == 1 && !suspect && acquireHedge()) {
+        requestRun("late_answer");
       }
     }
 
@@ -219,6 +275,7 @@
     }
 
     private void onDeadline() {
+      activeAttempts.forEach(a -> crashDetector.checkLater(a.target, exchange));
       BufferedResponse error = serverError;
       close();
       if (error != null) {
@@ -230,7 +287,14 @@
 
     /** Removes the request, cancels its attempts and timers. */
     void close() {
+      closed = true;
       activeRequests.remove(exchange.caller());
+      RequestId id = new RequestId(exchange.localId());
+      if (awaitingDecision.remove(id) != null || suspect) {
+        runDecisions.handle(
+            new RoutingEvent.ApplicationRunEnded(
+                id, exchange.fingerprint(), exchange.service().name()));
+      }
       for (Attempt attempt : activeAttempts) {
         balancer.requestCancelled(attempt.upstream);
         if (attempt.call != null) {
@@ -260,6 +324,14 @@
         onRefusal();
         return;
       }
+      if (suspect) {
+        suspect = false;
+        runDecisions.handle(
+            new RoutingEvent.ApplicationRunCompleted(
+                new RequestId(exchange.localId()),
+                exchange.fingerprint(),
+                exchange.service().name()));
+      }
       balancer.responseReceived(attempt.upstream, now - attempt.sentNanos, metadata.load(), now);
       if (response.status() >= MIN_SERVER_ERROR_STATUS && serverError == null) {
         if (!activeAttempts.isEmpty()) {
@@ -268,7 +340,7 @@
         }
         if (acquireRetry()) {
           serverError = response;
-          sendToNextUpstream("server_error");
+          requestRun("server_error");
           return;
         }
       }
@@ -286,7 +358,7 @@
         return;
       }
       if (refusalCount < MAX_REFUSALS && retryBudget(exchange.service().name()).tryAcquire()) {
-        sendToNextUpstream("refused_by_upstream");
+        requestRun("refused_by_upstream");
       } else {
         failIfNoActiveAttempt(ErrorCode.OVERLOADED, "upstreams refuse work");
       }
@@ -303,24 +375,25 @@
           attempt.upstream,
           failure,
           reason);
-      Instance target = fleet.instance(attempt.upstream.value());
-      if (failure == CallFailure.BROKEN && target != null) {
-        crashDetector.check(
-            target, exchange.callerRequestId(), exchange.contentId(), crashed -> {});
-      }
-      if (failure == CallFailure.NOT_SENT) {
-        // The upstream did not receive the request, so this is not counted as an attempt.
-        attemptCount--;
-        if (activeAttempts.isEmpty()) {
-          sendToNextUpstream("not_connected");
+      switch (failure) {
+        case NOT_SENT -> {
+          // The upstream did not receive the request, so this is not counted as an attempt.
+          attemptCount--;
+          if (activeAttempts.isEmpty()) {
+            requestRun("not_connected");
+          }
         }
-        return;
+        case BROKEN -> crashDetector.check(attempt.target, exchange, crashed -> retryBrokenCall());
+        case GARBLED -> retryBrokenCall();
       }
-      if (!activeAttempts.isEmpty()) {
+    }
+
+    private void retryBrokenCall() {
+      if (closed || !activeAttempts.isEmpty()) {
         return;
       }
       if (acquireRetry()) {
-        sendToNextUpstream("broken_answer");
+        requestRun("broken_answer");
       } else {
         failIfNoActiveAttempt(ErrorCode.UPSTREAM_FAILED, "upstream broke off");
       }
@@ -328,12 +401,14 @@
 
     /** An attempt: one call of the request to one upstream. */
     private final class Attempt extends BufferedResponseListener {
+      private final Instance target;
       private final UpstreamId upstream;
       private final long sentNanos;
       private @Nullable Call call;
 
-      Attempt(UpstreamId upstream, long sentNanos) {
-        this.upstream = upstream;
+      Attempt(Instance target, long sentNanos) {
+        this.target = target;
+        this.upstream = new UpstreamId(target.id());
         this.sentNanos = sentNanos;
       }
 
--- a/gateway/src/main/java/org/mustardlatch/gateway/EngineCalls.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/EngineCalls.java
@@ -161,10 +161,16 @@
     sendCall(c.attempt(), target, request, new DecodeResponseListener(c.attempt(), s, target));
   }
 
-  private void checkForCrash(Instance target, GenerationStream s, CallFailure failure) {
+  /** Tells a crash of the engine from other failures of a call that the engine may have got. */
+  private void classify(
+      Instance target, GenerationStream s, CallFailure failure, Consumer<Failure> consumer) {
     if (failure == CallFailure.BROKEN) {
       crashDetector.check(
-          target, s.exchange.callerRequestId(), s.exchange.contentId(), crashed -> {});
+          target,
+          s.exchange,
+          crashed -> consumer.accept(crashed ? Failure.CRASHED : Failure.DISCONNECTED));
+    } else {
+      consumer.accept(Failure.DISCONNECTED);
     }
   }
 
@@ -174,12 +180,20 @@
     calls.put(attempt, call);
   }
 
-  /** Cancels the call of an attempt and releases its reservation. */
-  void cancel(AttemptId attempt) {
-    releaseReservation(attempt);
-    Call call = calls.remove(attempt);
+  /**
+   * Cancels the call of an attempt and releases its reservation.
+   *
+   * @param s the request if its caller still waits, otherwise null
+   */
+  void cancel(RoutingCommand.CancelAttempt c, @Nullable GenerationStream s) {
+    releaseReservation(c.attempt());
+    Call call = calls.remove(c.attempt());
     if (call != null) {
       call.cancel();
+      Instance engine = fleet.instance(c.upstream().value());
+      if (s != null && engine != null) {
+        crashDetector.checkLater(engine, s.exchange);
+      }
     }
   }
 
@@ -309,9 +323,8 @@
     public void failed(CallFailure failure, String reason) {
       calls.remove(attempt);
       recordFailure(failure + " " + reason);
-      checkForCrash(source, stream, failure);
       releaseReservation(attempt);
-      emit(new RoutingEvent.PrefillFailed(attempt, Failure.DISCONNECTED));
+      classify(source, stream, failure, f -> emit(new RoutingEvent.PrefillFailed(attempt, f)));
     }
 
     private void recordFailure(String reason) {
@@ -435,10 +448,11 @@
       calls.remove(attempt);
       stream.events.discardIncompleteEvent();
       recordFailure(failure + " " + reason);
-      checkForCrash(target, stream, failure);
-      boolean notSent = failure == CallFailure.NOT_SENT;
-      emit(
-          new RoutingEvent.DecodeFailed(attempt, notSent ? Failure.REFUSED : Failure.DISCONNECTED));
+      if (failure == CallFailure.NOT_SENT) {
+        emit(new RoutingEvent.DecodeFailed(attempt, Failure.REFUSED));
+      } else {
+        classify(target, stream, failure, f -> emit(new RoutingEvent.DecodeFailed(attempt, f)));
+      }
     }
 
     private void recordFailure(String reason) {
--- a/gateway/src/main/java/org/mustardlatch/gateway/Gateway.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/Gateway.java
@@ -74,7 +74,9 @@
     this.peers = peers;
     this.random = random;
     this.requestNames = new RequestNames(settings.host(), incarnation);
-    var crashDetector = new CrashDetector(loop, fleet, metrics);
+    this.generationHandler =
+        new GenerationRequestHandler(
+            fleet, timers, settings, protocol, random, peers, incarnation, loop, metrics);
     this.applicationHandler =
         new ApplicationRequestHandler(
             fleet,
@@ -83,20 +85,9 @@
             protocol,
             random,
             metrics,
-            crashDetector,
+            generationHandler.crashDetector(),
+            generationHandler,
             () -> peers.members().size());
-    this.generationHandler =
-        new GenerationRequestHandler(
-            fleet,
-            timers,
-            settings,
-            protocol,
-            random,
-            peers,
-            incarnation,
-            loop,
-            metrics,
-            crashDetector);
     this.callerServer =
         new CallerServer(loop, timers, settings.callerAddress(), this, this::limits);
     this.readinessServer = new PageServer(loop, timers, settings.readinessAddress());
--- a/gateway/src/main/java/org/mustardlatch/gateway/GenerationRequestHandler.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/GenerationRequestHandler.java
@@ -1,9 +1,9 @@
 package org.mustardlatch.gateway;
 
+import io.netty.channel.EventLoop;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.mustardlatch.core.model.AttemptId;
@@ -27,7 +27,7 @@
  *
  * <p>Used on the event loop of the data path only, once the node has started.
  */
-final class GenerationRequestHandler {
+final class GenerationRequestHandler implements RunDecisions {
   /** Workspace of requests that can still get their first token within the latency target. */
   static final WorkspaceId IN_TIME = new WorkspaceId("in-time");
 
@@ -56,8 +56,9 @@
   private final GatewaySettings settings;
   private final RandomGenerator random;
   private final Peers peers;
-  private final Executor eventExecutor;
+  private final EventLoop eventLoop;
   private final GatewayMetrics metrics;
+  private final CrashDetector crashDetector;
   private final PolicyRunner runner;
   private final NodeRouter router;
   private final Map<RequestId, GenerationStream> streams = new HashMap<>();
@@ -65,6 +66,7 @@
   private final EngineCalls engineCalls;
   private double averageLengthHint;
   private long manifestRevision;
+  private Consumer<RoutingCommand.DecideApplicationRun> applicationDecisions = c -> {};
 
   GenerationRequestHandler(
       FleetState fleet,
@@ -74,16 +76,16 @@
       RandomGenerator random,
       Peers peers,
       long incarnation,
-      Executor eventExecutor,
-      GatewayMetrics metrics,
-      CrashDetector crashDetector) {
+      EventLoop eventLoop,
+      GatewayMetrics metrics) {
     this.metrics = metrics;
     this.peers = peers;
     this.fleet = fleet;
     this.timers = timers;
     this.settings = settings;
     this.random = random;
-    this.eventExecutor = eventExecutor;
+    this.eventLoop = eventLoop;
+    this.crashDetector = new CrashDetector(eventLoop, fleet, metrics, this::handle);
     this.router = new NodeRouter(settings.host(), settings.region(), incarnation, random);
     this.engineCalls =
         new EngineCalls(fleet, timers, protocol, metrics, crashDetector, this::postEvent);
@@ -95,6 +97,26 @@
     peers.start(runner::handle);
   }
 
+  /** Returns the detector that reports crashes of upstreams to the router. */
+  CrashDetector crashDetector() {
+    return crashDetector;
+  }
+
+  @Override
+  public boolean required() {
+    return router.hasCrashEvidence();
+  }
+
+  @Override
+  public void handle(RoutingEvent event) {
+    runner.handle(event);
+  }
+
+  @Override
+  public void onDecision(Consumer<RoutingCommand.DecideApplicationRun> receiver) {
+    applicationDecisions = receiver;
+  }
+
   /** Returns the number of requests in progress. */
   int openRequests() {
     return streams.size();
@@ -193,7 +215,7 @@
 
   /** Passes an event to the router after the event in progress has been processed. */
   private void postEvent(RoutingEvent event) {
-    eventExecutor.execute(() -> runner.handle(event));
+    eventLoop.execute(() -> runner.handle(event));
   }
 
   private void executeCommand(RoutingCommand command) {
@@ -204,7 +226,8 @@
           withStream(c.attempt(), s -> engineCalls.startPrefill(s, c));
       case RoutingCommand.StartDecode c ->
           withStream(c.attempt(), s -> engineCalls.startDecode(s, c));
-      case RoutingCommand.CancelAttempt c -> engineCalls.cancel(c.attempt());
+      case RoutingCommand.CancelAttempt c ->
+          engineCalls.cancel(c, streams.get(c.attempt().request()));
       case RoutingCommand.ReleaseKv c -> engineCalls.releaseKv(c.handle());
       case RoutingCommand.Refuse c -> refuse(c);
       case RoutingCommand.Complete c -> complete(c.request());
@@ -213,6 +236,8 @@
       case RoutingCommand.CancelOrphanedAttempt c -> {
         // Engines cancel the work of a dead node themselves when its connections close.
       }
+      case RoutingCommand.DecideApplicationRun c ->
+          eventLoop.execute(() -> applicationDecisions.accept(c));
       case RoutingCommand.SetTimer c ->
           throw new IllegalStateException("timer command not handled by PolicyRunner: " + c);
       case RoutingCommand.CancelTimer c ->
--- a/gateway/src/main/java/org/mustardlatch/gateway/RetryLimits.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/RetryLimits.java
@@ -22,11 +22,25 @@
    * @param nodes number of live nodes as last observed by this node
    */
   static RetryBudget budgetPerNode(GatewaySettings settings, int nodes) {
-    double units = settings.retryBudgetExtra() / Math.max(MIN_NODES, nodes);
+    double units = unitsPerNode(settings, nodes);
     // With a capacity below one unit no request could ever be retried.
     return new RetryBudget(units / 2, Math.max(1, units));
   }
 
+  /**
+   * Returns the units of a node's budget that are kept for requests whose upstream failed. Without
+   * them, a crash that follows some slow responses could not be hidden from callers.
+   *
+   * @param nodes number of live nodes as last observed by this node
+   */
+  static double unitsForFailures(GatewaySettings settings, int nodes) {
+    return unitsPerNode(settings, nodes) / 2;
+  }
+
+  private static double unitsPerNode(GatewaySettings settings, int nodes) {
+    return settings.retryBudgetExtra() / Math.max(MIN_NODES, nodes);
+  }
+
   /**
    * Returns a random Retry-After time that spreads the retries of refused callers over a part of
    * their remaining time.
--- a/gateway/src/main/java/org/mustardlatch/gateway/RoutedExchange.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/RoutedExchange.java
@@ -14,6 +14,7 @@
 import org.jspecify.annotations.Nullable;
 import org.mustardlatch.core.error.ErrorCode;
 import org.mustardlatch.core.model.Fingerprint;
+import org.mustardlatch.core.quarantine.CrashEvidence;
 import org.mustardlatch.gateway.config.GatewayRoute;
 import org.mustardlatch.gateway.config.GatewayService;
 import org.mustardlatch.gateway.http.BufferedResponse;
@@ -32,6 +33,8 @@
   // fraction of the longest one indicates that the caller retries after a refusal.
   private static final double MIN_FIRST_ATTEMPT_TIMEOUT_FRACTION = 0.85;
   private static final int SERVICE_UNAVAILABLE = 503;
+  private static final Duration QUARANTINE_RETRY_AFTER =
+      Duration.ofNanos(CrashEvidence.LIFETIME_NANOS);
   private static final int CONTENT_ID_DIGITS = 16;
 
   private final String localId;
@@ -196,7 +199,8 @@
     }
     int status = statusFor(code);
     recordOutcome("failed", reason, status);
-    Duration retryDelay = status == SERVICE_UNAVAILABLE ? retryAfter : Duration.ZERO;
+    Duration delay = code == ErrorCode.REQUEST_QUARANTINED ? QUARANTINE_RETRY_AFTER : retryAfter;
+    Duration retryDelay = status == SERVICE_UNAVAILABLE ? delay : Duration.ZERO;
     ErrorResponse.send(caller, status, code, reason, retryDelay);
   }
 
@@ -206,7 +210,8 @@
    * gets the status of {@link ErrorCode#UPSTREAM_UNAVAILABLE}.
    */
   private int statusFor(ErrorCode code) {
-    int status = code.httpStatus();
+    // A status of the 4xx class would say that the request itself is not valid.
+    int status = code == ErrorCode.REQUEST_QUARANTINED ? SERVICE_UNAVAILABLE : code.httpStatus();
     boolean impliesNotExecuted =
         status == SERVICE_UNAVAILABLE || status == 429 || status == 408 || status == 421;
     if (impliesNotExecuted && possibleExecutions > 0) {
--- a/gateway/src/main/java/org/mustardlatch/gateway/log/LogEvent.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/log/LogEvent.java
@@ -64,7 +64,10 @@
   CALLER_CONNECTION_BROKEN(8032, Level.INFO, "caller connection was broken already reason={}"),
   OBJECT_UNREADABLE(8019, Level.WARN, "object kind={} name={} unreadable reason={}"),
   SETTINGS_CHANGED(8029, Level.INFO, "reload requested; settings are read at the next start"),
-  CALL_BROKEN(8034, Level.INFO, "request={} content={} upstream={} probed after a broken call"),
+  CALL_BROKEN(
+      8034,
+      Level.INFO,
+      "request={} content={} upstream={} probed after its call broke or was given up"),
   UPSTREAM_PROBED(8035, Level.INFO, "upstream={} new_connection={} crashed={}"),
   KV_NOT_FREED(8028, Level.WARN, "kv={} upstream={} not freed reason={}");
 
--- a/replay/src/main/java/org/mustardlatch/replay/BaselinePolicy.java
+++ b/replay/src/main/java/org/mustardlatch/replay/BaselinePolicy.java
@@ -71,6 +71,10 @@
         }
       }
       case RoutingEvent.DecodeStarted e -> {}
+      case RoutingEvent.UpstreamCrashed e -> {}
+      case RoutingEvent.ApplicationRunRequested e -> {}
+      case RoutingEvent.ApplicationRunEnded e -> {}
+      case RoutingEvent.ApplicationRunCompleted e -> {}
       case RoutingEvent.EngineReserved e -> {}
       case RoutingEvent.EngineReservationFailed e -> {}
       case RoutingEvent.AttemptsListed e -> {}
--- a/wire/src/main/java/org/mustardlatch/wire/EvidenceCodec.java
+++ b/wire/src/main/java/org/mustardlatch/wire/EvidenceCodec.java
@@ -21,6 +21,11 @@
               .addAllRunning(m.running().stream().map(EvidenceCodec::fingerprintToBytes).toList());
       case EvidenceMessage.RunRequest m ->
           out.getRunRequestBuilder()
+              .setFingerprint(fingerprintToBytes(m.fingerprint()))
+              .setAttempt(m.attempt())
+              .setGroup(m.group());
+      case EvidenceMessage.RunEnded m ->
+          out.getRunEndedBuilder()
               .setFingerprint(fingerprintToBytes(m.fingerprint()))
               .setAttempt(m.attempt());
       case EvidenceMessage.RunPermission m ->
@@ -47,7 +52,12 @@
       case RUN_REQUEST ->
           new EvidenceMessage.RunRequest(
               PeerCodec.fingerprintFromBytes(e.getRunRequest().getFingerprint()),
-              e.getRunRequest().getAttempt());
+              e.getRunRequest().getAttempt(),
+              e.getRunRequest().getGroup());
+      case RUN_ENDED ->
+          new EvidenceMessage.RunEnded(
+              PeerCodec.fingerprintFromBytes(e.getRunEnded().getFingerprint()),
+              e.getRunEnded().getAttempt());
       case RUN_PERMISSION ->
           new EvidenceMessage.RunPermission(
               PeerCodec.fingerprintFromBytes(e.getRunPermission().getFingerprint()),
--- a/wire/src/main/java/org/mustardlatch/wire/PeerNode.java
+++ b/wire/src/main/java/org/mustardlatch/wire/PeerNode.java
@@ -291,6 +291,7 @@
   private void handleEvidence(HostId from, long senderIncarnation, EvidenceMessage message) {
     switch (message) {
       case EvidenceMessage.RunRequest m -> listener.messageReceived(from, senderIncarnation, m);
+      case EvidenceMessage.RunEnded m -> listener.messageReceived(from, senderIncarnation, m);
       case EvidenceMessage.RunPermission m -> listener.messageReceived(from, senderIncarnation, m);
       case EvidenceMessage.CrashReport m -> forwardAndDeliver(from, senderIncarnation, m);
       case EvidenceMessage.Cleared m -> forwardAndDeliver(from, senderIncarnation, m);
