Close a connection whose upstream sends bytes without end

Cause: the gateway held responses in memory without a limit: bodies of application requests, error bodies, prefill and reservation responses, an event of a stream that never ends. The decoder limits a line and a head, but skips blank bytes before a head without limit, and the connection skipped any number of interim responses and of responses to other requests. The class of fault: a limit on what callers send, none on what upstreams send. On the own interface application responses had a limit (16 MiB); prefill, error and status responses of engines and events of a stream had none.

Change: a body in memory has at most 1 MiB (8 MiB from the store, whose pages are larger), an event 256 KiB, and at most 256 KiB may come before the head of the response. The length of a stream stays unlimited, as its events are passed on with back pressure. On the own interface EngineJson.read and EventSizeLimit do the same with 1 MiB.

Ruled out: passing long bodies on unbuffered (the caller would get the bytes that are no response); a time limit alone (a fast server fills the memory well within a request's time).

--- a/daemon/src/main/java/org/mustardlatch/daemon/upstream/DecodeCall.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/upstream/DecodeCall.java
@@ -7,9 +7,11 @@
 import java.util.List;
 import okhttp3.Call;
 import okhttp3.Response;
+import okhttp3.ResponseBody;
 import okhttp3.sse.EventSource;
 import okhttp3.sse.EventSourceListener;
 import okhttp3.sse.EventSources;
+import okio.Okio;
 import org.jspecify.annotations.Nullable;
 import org.mustardlatch.core.routing.Failure;
 import org.mustardlatch.core.routing.RoutingEvent;
@@ -41,8 +43,12 @@
   void readResponse(Response response, ProgressMonitor monitor) throws IOException {
     post(new RoutingEvent.DecodeStarted(attempt()));
     monitor.recordProgress(timeouts().firstToken());
-    StreamListener listener = new StreamListener(monitor);
-    EventSources.processResponse(response, listener);
+    ResponseBody body = response.body();
+    EventSizeLimit limit = new EventSizeLimit(body.source());
+    StreamListener listener = new StreamListener(monitor, limit);
+    ResponseBody limited =
+        ResponseBody.create(Okio.buffer(limit), body.contentType(), body.contentLength());
+    EventSources.processResponse(response.newBuilder().body(limited).build(), listener);
     if (!listener.finished && !isCancelled()) {
       throw new IOException("stream ended before the final event", listener.error);
     }
@@ -91,18 +97,21 @@
   /** Receives the server-sent events of the stream, on the thread of the call. */
   private final class StreamListener extends EventSourceListener {
     private final ProgressMonitor monitor;
+    private final EventSizeLimit limit;
     private int tokensReceived;
     private boolean finished;
     private @Nullable Throwable error;
 
-    StreamListener(ProgressMonitor monitor) {
+    StreamListener(ProgressMonitor monitor, EventSizeLimit limit) {
       this.monitor = monitor;
+      this.limit = limit;
     }
 
     @Override
     public void onEvent(
         EventSource source, @Nullable String id, @Nullable String type, String data) {
       monitor.recordProgress(timeouts().tokenGap());
+      limit.eventReceived();
       if (finished) {
         return;
       }
--- a/daemon/src/main/java/org/mustardlatch/daemon/upstream/EngineCall.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/upstream/EngineCall.java
@@ -124,7 +124,7 @@
       case STATUS_UNAVAILABLE, STATUS_TOO_MANY_REQUESTS -> Failure.REFUSED;
       case STATUS_GONE -> Failure.KV_EXPIRED;
       default -> {
-        JsonNode error = EngineJson.parse(response.body().string()).path("error");
+        JsonNode error = EngineJson.read(response).path("error");
         context.logUpstreamError(host, attempt, response.code(), error.path("message").asText());
         yield Failure.REFUSED;
       }
--- a/daemon/src/main/java/org/mustardlatch/daemon/upstream/PrefillCall.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/upstream/PrefillCall.java
@@ -25,7 +25,7 @@
 
   @Override
   void readResponse(Response response, ProgressMonitor monitor) throws IOException {
-    JsonNode transfer = EngineJson.parse(response.body().string()).path("kv_transfer_params");
+    JsonNode transfer = EngineJson.read(response).path("kv_transfer_params");
     String reference = transfer.path("remote_request_id").asText();
     if (reference.isEmpty()) {
       throw new IOException("prefill response has no kv_transfer_params.remote_request_id");
--- a/daemon/src/main/java/org/mustardlatch/daemon/upstream/UpstreamPoller.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/upstream/UpstreamPoller.java
@@ -147,9 +147,7 @@
   private static JsonNode getJson(UpstreamHost host, HttpUrl url) {
     OkHttpClient client = host.client().newBuilder().callTimeout(CALL_TIMEOUT).build();
     try (Response response = client.newCall(new Request.Builder().url(url).build()).execute()) {
-      return response.isSuccessful()
-          ? EngineJson.parse(response.body().string())
-          : EngineJson.missingNode();
+      return response.isSuccessful() ? EngineJson.read(response) : EngineJson.missingNode();
     } catch (IOException e) {
       host.evictConnections();
       return EngineJson.missingNode();
--- a/gateway/src/main/java/org/mustardlatch/gateway/EngineCalls.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/EngineCalls.java
@@ -157,7 +157,11 @@
         reservation != null && reservation.engine.id().equals(target.id())
             ? reservation.reservationId
             : null;
-    CallRequest request = s.exchange.toUpstreamRequest(s.callPlan(target, work, reservationId));
+    // The length of a stream is unlimited, as its events are passed on when they arrive.
+    CallRequest request =
+        s.exchange
+            .toUpstreamRequest(s.callPlan(target, work, reservationId))
+            .withMaxResponseBytes(Long.MAX_VALUE);
     sendCall(c.attempt(), target, request, new DecodeResponseListener(c.attempt(), s, target));
   }
 
@@ -379,6 +383,9 @@
       }
       if (!isUpstreamSuccess(received)) {
         received.append(part);
+        if (received.length() > CallRequest.DEFAULT_MAX_RESPONSE_BYTES) {
+          abandon("body exceeds " + CallRequest.DEFAULT_MAX_RESPONSE_BYTES + " bytes");
+        }
         return;
       }
       if (!started) {
@@ -392,6 +399,18 @@
         stream.timing.recordEvents(count, timers.nanos());
         emit(new RoutingEvent.TokensArrived(attempt, count));
       }
+      if (stream.events.eventTooLong()) {
+        abandon("event exceeds " + SseEventSplitter.MAX_EVENT_BYTES + " bytes");
+      }
+    }
+
+    /** Closes the connection of a response that would fill the memory. */
+    private void abandon(String reason) {
+      Call call = calls.get(attempt);
+      if (call != null) {
+        call.cancel();
+      }
+      failed(CallFailure.GARBLED, reason);
     }
 
     /** Sends complete events to the caller. */
--- a/gateway/src/main/java/org/mustardlatch/gateway/SseEventSplitter.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/SseEventSplitter.java
@@ -15,6 +15,9 @@
   private static final byte LINE_FEED = '\n';
   private static final String ID_FIELD = "id:";
 
+  /** Maximum length of an incomplete event, bytes. */
+  static final int MAX_EVENT_BYTES = 1 << 18;
+
   private final ByteArrayOutputStream incompleteEvent = new ByteArrayOutputStream();
   private @Nullable String lastEventId;
   private int eventCount;
@@ -57,6 +60,11 @@
     }
   }
 
+  /** Returns whether an event is longer than any that an engine sends. */
+  boolean eventTooLong() {
+    return incompleteEvent.size() > MAX_EVENT_BYTES;
+  }
+
   /** Returns the bytes received after the last complete event. */
   byte[] incompleteEventBytes() {
     return incompleteEvent.toByteArray();
--- a/gateway/src/main/java/org/mustardlatch/gateway/http/BufferedResponse.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/http/BufferedResponse.java
@@ -38,6 +38,11 @@
     return status() < FIRST_NON_SUCCESS_STATUS;
   }
 
+  /** Returns the length of the body received so far, bytes. */
+  public int length() {
+    return body.size();
+  }
+
   /** Returns the body received so far. */
   public byte[] body() {
     return body.toByteArray();
--- a/gateway/src/main/java/org/mustardlatch/gateway/http/CallFailure.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/http/CallFailure.java
@@ -6,6 +6,6 @@
   NOT_SENT,
   /** The connection broke after the upstream may have received the request. */
   BROKEN,
-  /** The upstream sent bytes that are not a valid HTTP response. */
+  /** The upstream sent bytes that are not a valid HTTP response, or a response without end. */
   GARBLED
 }
--- a/gateway/src/main/java/org/mustardlatch/gateway/http/CallRequest.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/http/CallRequest.java
@@ -6,10 +6,14 @@
 
 /** An HTTP request to an upstream with its whole body. */
 public final class CallRequest {
+  /** Default maximum length of the response body, bytes; it is held in memory. */
+  public static final int DEFAULT_MAX_RESPONSE_BYTES = 1 << 20;
+
   private final HttpRequest head;
   private final byte[] body;
   private final boolean repeatable;
   private final Predicate<HttpResponse> responseMatcher;
+  private final long maxResponseBytes;
 
   /**
    * Creates a request.
@@ -24,10 +28,33 @@
    */
   public CallRequest(
       HttpRequest head, byte[] body, boolean repeatable, Predicate<HttpResponse> responseMatcher) {
+    this(head, body, repeatable, responseMatcher, DEFAULT_MAX_RESPONSE_BYTES);
+  }
+
+  private CallRequest(
+      HttpRequest head,
+      byte[] body,
+      boolean repeatable,
+      Predicate<HttpResponse> responseMatcher,
+      long maxResponseBytes) {
     this.head = head;
     this.body = body;
     this.repeatable = repeatable;
     this.responseMatcher = responseMatcher;
+    this.maxResponseBytes = maxResponseBytes;
+  }
+
+  /**
+   * Returns the same request with another limit for its response.
+   *
+   * @param bytes maximum length of the response body; the call fails when it is exceeded
+   */
+  public CallRequest withMaxResponseBytes(long bytes) {
+    return new CallRequest(head, body, repeatable, responseMatcher, bytes);
+  }
+
+  long maxResponseBytes() {
+    return maxResponseBytes;
   }
 
   HttpRequest head() {
--- a/gateway/src/main/java/org/mustardlatch/gateway/http/UpstreamConnection.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/http/UpstreamConnection.java
@@ -1,5 +1,6 @@
 package org.mustardlatch.gateway.http;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -25,6 +26,9 @@
   /** Keep-alive timeout that is assumed if the upstream states none. */
   private static final Duration DEFAULT_KEEP_ALIVE = Duration.ofSeconds(4);
 
+  // Leaves room for interim responses and for late responses to earlier requests.
+  private static final int MAX_BYTES_BEFORE_RESPONSE = 1 << 18;
+
   private final UpstreamPool pool;
   private final ResponseDecoder decoder;
   private final Channel channel;
@@ -36,6 +40,8 @@
   private boolean closed;
   private long keepAliveNanos = DEFAULT_KEEP_ALIVE.toNanos();
   private long idleSinceNanos;
+  private long bytesBeforeResponse;
+  private long bodyBytes;
 
   UpstreamConnection(UpstreamPool pool, Channel channel, ResponseDecoder decoder) {
     this.pool = pool;
@@ -59,6 +65,8 @@
     call = next;
     headReceived = false;
     closeAfterResponse = false;
+    bytesBeforeResponse = 0;
+    bodyBytes = 0;
     HttpHeaders headers = request.head().headers();
     decoder.expectNoBody(HttpMethod.HEAD.equals(request.head().method()));
     headers.remove(HttpHeaderNames.TRANSFER_ENCODING);
@@ -95,6 +103,19 @@
     }
   }
 
+  /**
+   * Counts received bytes. The decoder limits the length of a line and of a head, but skips blank
+   * bytes before a head, and any number of responses may belong to no request.
+   */
+  private void bytesReceived(int count) {
+    if (call != null && !headReceived) {
+      bytesBeforeResponse += count;
+      if (bytesBeforeResponse > MAX_BYTES_BEFORE_RESPONSE) {
+        failCall(CallFailure.GARBLED, "no response within " + MAX_BYTES_BEFORE_RESPONSE + " bytes");
+      }
+    }
+  }
+
   private void handleHead(HttpResponse r) {
     Call c = call;
     if (r.decoderResult().isFailure()) {
@@ -156,6 +177,11 @@
     if (!headReceived) {
       return;
     }
+    bodyBytes += content.content().readableBytes();
+    if (bodyBytes > c.request().maxResponseBytes()) {
+      failCall(CallFailure.GARBLED, "body exceeds " + c.request().maxResponseBytes() + " bytes");
+      return;
+    }
     if (content.content().isReadable()) {
       c.listener().bodyReceived(content.content());
     }
@@ -200,6 +226,21 @@
     failCall(CallFailure.BROKEN, String.valueOf(cause.getMessage()));
   }
 
+  /** Returns the handler that counts bytes, which must precede the decoder. */
+  ChannelInboundHandlerAdapter byteCounter() {
+    return new ChannelInboundHandlerAdapter() {
+      @Override
+      public void channelRead(ChannelHandlerContext ctx, Object message) {
+        bytesReceived(((ByteBuf) message).readableBytes());
+        if (closed) {
+          ReferenceCountUtil.release(message);
+        } else {
+          ctx.fireChannelRead(message);
+        }
+      }
+    };
+  }
+
   /**
    * Decodes responses without pairing them with requests, since a response that belongs to no
    * request would shift the pairs.
--- a/gateway/src/main/java/org/mustardlatch/gateway/http/UpstreamPool.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/http/UpstreamPool.java
@@ -87,6 +87,7 @@
           protected void initChannel(Channel ch) {
             var decoder = new UpstreamConnection.ResponseDecoder();
             var connection = new UpstreamConnection(UpstreamPool.this, ch, decoder);
+            ch.pipeline().addLast("counter", connection.byteCounter());
             ch.pipeline().addLast("decoder", decoder);
             ch.pipeline().addLast("encoder", new HttpRequestEncoder());
             ch.pipeline().addLast("connection", connection);
--- a/gateway/src/main/java/org/mustardlatch/gateway/store/HttpStoreReader.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/store/HttpStoreReader.java
@@ -18,6 +18,8 @@
 public final class HttpStoreReader<T> implements StoreReader<T> {
   // The store normally responds in milliseconds; after this time it is taken for unreachable.
   private static final Duration RESPONSE_TIMEOUT = Duration.ofMillis(1_500);
+  // A page of a list has about a megabyte and at least one object, which may have another.
+  private static final int MAX_RESPONSE_BYTES = 8 << 20;
 
   private final TimerService timers;
   private final UpstreamPool pool;
@@ -51,7 +53,10 @@
       Consumer<StoreResponse<T>> consumer) {
     var listener = new PendingRead(decoder, consumer);
     listener.timer = timers.schedule(timeout, listener::timedOut);
-    listener.call = pool.send(new CallRequest(request, new byte[0], true, r -> true), listener);
+    CallRequest call =
+        new CallRequest(request, new byte[0], true, r -> true)
+            .withMaxResponseBytes(MAX_RESPONSE_BYTES);
+    listener.call = pool.send(call, listener);
   }
 
   /** A read in progress; passes on its response, or a failure, exactly once. */
