Count a crash of an upstream that restarted under its id as another one

Cause: a crash is named by the upstream's id and start time, which all nodes know from the store. While the store is away, a server that restarts under the id that it had keeps its old entry, so its second crash had the name of the first, and a request to a service of one such server was never quarantined.

Change: the event of a crash says when the last of its requests was sent. When that is more than 2.5 s after the report of an earlier crash of the same process, the process has restarted, and the crash is another one (CrashEvidenceCoordinator.processCrashed). The calls of engines remember when they were sent.

A failed try in between: any request sent after the report counted as sent to a restarted process. A node that has not yet noticed that its connection is dead still sends on it, so one crash could count twice and quarantine what was on it; NodeRouterTest.requestsSentBeforeACrashWasNoticedAreOnTheSameCrash shows this without a network.

--- a/core/src/main/java/org/mustardlatch/core/routing/CrashEvidenceCoordinator.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/CrashEvidenceCoordinator.java
@@ -24,8 +24,9 @@
  * run. Each request fingerprint has one owner node, which grants these permissions.
  */
 final class CrashEvidenceCoordinator implements CellAdmission.CrashListener {
-  // Two admitting nodes may report the same crash during a handover of the cell. Engines take
-  // longer than this to restart, so reports of two nodes within this time are of one crash.
+  // Several nodes may report the same crash, and may send requests to the upstream until they have
+  // noticed it. Upstreams take longer than this to restart, so reports within this time are of one
+  // crash.
   private static final long DUPLICATE_REPORT_NANOS = 2_500_000_000L;
 
   // Bounds the reports sent to a joining node. Few crashes happen within the 10 min lifetime of
@@ -82,11 +83,31 @@
     crashDetected(new CrashReport(upstream, id, running));
   }
 
+  /**
+   * Records a crash of a process that is known by an identifier on all nodes. If the process had
+   * crashed before and got the requests some time later, it has restarted under the same
+   * identifier, which is another crash.
+   *
+   * @param report report whose crash ID is the identifier of the process
+   * @param lastSentNanos monotonic time at which the last of the requests was sent
+   */
+  void processCrashed(CrashReport report, long lastSentNanos) {
+    String id = report.crashId();
+    RecentReport earlier = find(id);
+    for (int i = 1;
+        earlier != null && lastSentNanos - earlier.receivedNanos > DUPLICATE_REPORT_NANOS;
+        i++) {
+      id = report.crashId() + "#" + i;
+      earlier = find(id);
+    }
+    crashDetected(new CrashReport(report.upstream(), id, report.running()));
+  }
+
   /**
    * Records a crash that this node detected and broadcasts it, several times. Reports of several
    * nodes with the same identifier are of one crash.
    */
-  void crashDetected(CrashReport report) {
+  private void crashDetected(CrashReport report) {
     RecentReport recorded = recordReport(report);
     recorded.remainingBroadcasts = MAX_BROADCASTS;
     recorded.nextBroadcastNanos = commands.now();
--- a/core/src/main/java/org/mustardlatch/core/routing/NodeRouter.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/NodeRouter.java
@@ -167,8 +167,8 @@
         permissionClient.release(e.request(), e.fingerprint(), e.service());
       }
       case RoutingEvent.UpstreamCrashed e ->
-          evidenceCoordinator.crashDetected(
-              new CrashReport(e.upstream(), e.crashId(), e.running()));
+          evidenceCoordinator.processCrashed(
+              new CrashReport(e.upstream(), e.processId(), e.running()), e.lastSentNanos());
       case RoutingEvent.DrainRequested e -> requestCoordinator.startDraining();
     }
   }
--- a/core/src/main/java/org/mustardlatch/core/routing/RoutingEvent.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/RoutingEvent.java
@@ -66,10 +66,13 @@
   /**
    * An upstream crashed.
    *
-   * @param crashId identifier of the crash, the same on all nodes
+   * @param processId identifier of its process as far as this node knows, the same on all nodes; an
+   *     upstream may restart under the identifier that it had
    * @param running the requests of this node that were running on the upstream
+   * @param lastSentNanos monotonic time at which the last of these requests was sent
    */
-  record UpstreamCrashed(UpstreamId upstream, String crashId, List<Fingerprint> running)
+  record UpstreamCrashed(
+      UpstreamId upstream, String processId, List<Fingerprint> running, long lastSentNanos)
       implements RoutingEvent {
     /** Copies the list. */
     public UpstreamCrashed {
--- a/core/src/test/java/org/mustardlatch/core/routing/NodeRouterTest.java
+++ b/core/src/test/java/org/mustardlatch/core/routing/NodeRouterTest.java
@@ -558,7 +558,7 @@
     Member other = Fixtures.member(1, OSLO);
     handle(new RoutingEvent.MembersChanged(List.of(Fixtures.member(0, OSLO), other)));
     var running = List.of(Fixtures.fingerprint(1));
-    handle(new RoutingEvent.UpstreamCrashed(new UpstreamId("app-1"), "app-1/7", running));
+    handle(new RoutingEvent.UpstreamCrashed(new UpstreamId("app-1"), "app-1/7", running, now));
     commands.clear();
 
     Member restarted =
@@ -577,7 +577,7 @@
     handle(new RoutingEvent.MembersChanged(List.of(Fixtures.member(0, OSLO), other)));
     handle(
         new RoutingEvent.UpstreamCrashed(
-            new UpstreamId("app-1"), "app-1/7", List.of(Fixtures.fingerprint(1))));
+            new UpstreamId("app-1"), "app-1/7", List.of(Fixtures.fingerprint(1)), now));
     for (int i = 0; i < 60; i++) {
       now += 100 * MILLI;
       handle(new RoutingEvent.TimerFired(new TimerKey("tick", Fixtures.host(0).value())));
@@ -596,19 +596,43 @@
       assertThat(decideApplicationRun(content)).isEqualTo(Verdict.RUN);
       handle(
           new RoutingEvent.UpstreamCrashed(
-              new UpstreamId(crash.substring(0, 5)), crash, List.of(content)));
+              new UpstreamId(crash.substring(0, 5)), crash, List.of(content), now));
     }
     assertThat(decideApplicationRun(content)).isEqualTo(Verdict.QUARANTINED);
     assertThat(decideApplicationRun(Fixtures.fingerprint(2))).isEqualTo(Verdict.RUN);
   }
 
+  @Test
+  void upstreamThatCrashesAgainUnderTheSameIdentifierCountsTwice() {
+    Fingerprint content = Fixtures.fingerprint(1);
+    assertThat(crash(content, now)).isEqualTo(Verdict.RUN);
+    now += 3 * SECOND;
+    assertThat(crash(content, now)).isEqualTo(Verdict.QUARANTINED);
+  }
+
+  @Test
+  void requestsSentBeforeACrashWasNoticedAreOnTheSameCrash() {
+    Fingerprint content = Fixtures.fingerprint(1);
+    assertThat(crash(content, now)).isEqualTo(Verdict.RUN);
+    now += 300 * MILLI;
+    assertThat(crash(content, now - 100 * MILLI)).isEqualTo(Verdict.RUN);
+  }
+
+  /** Reports a crash of the same process and returns whether the content may run after that. */
+  private Verdict crash(Fingerprint content, long sentNanos) {
+    handle(
+        new RoutingEvent.UpstreamCrashed(
+            new UpstreamId("app-1"), "app-1/7", List.of(content), sentNanos));
+    return decideApplicationRun(content);
+  }
+
   @Test
   void suspectsOfAServiceRunOneAtATime() {
     Fingerprint first = Fixtures.fingerprint(1);
     Fingerprint second = Fixtures.fingerprint(2);
     handle(
         new RoutingEvent.UpstreamCrashed(
-            new UpstreamId("app-1"), "app-1/7", List.of(first, second)));
+            new UpstreamId("app-1"), "app-1/7", List.of(first, second), now));
     RequestId running = new RequestId("a1");
     requestApplicationRun(running, first);
     assertThat(lastCommandOfType(RoutingCommand.DecideApplicationRun.class).verdict())
--- a/gateway/src/main/java/org/mustardlatch/gateway/ApplicationRequestHandler.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/ApplicationRequestHandler.java
@@ -275,7 +275,7 @@
     }
 
     private void onDeadline() {
-      activeAttempts.forEach(a -> crashDetector.checkLater(a.target, exchange));
+      activeAttempts.forEach(a -> crashDetector.checkLater(a.target, exchange, a.sentNanos));
       BufferedResponse error = serverError;
       close();
       if (error != null) {
@@ -383,7 +383,9 @@
             requestRun("not_connected");
           }
         }
-        case BROKEN -> crashDetector.check(attempt.target, exchange, crashed -> retryBrokenCall());
+        case BROKEN ->
+            crashDetector.check(
+                attempt.target, exchange, attempt.sentNanos, crashed -> retryBrokenCall());
         case GARBLED -> retryBrokenCall();
       }
     }
--- a/gateway/src/main/java/org/mustardlatch/gateway/CrashDetector.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/CrashDetector.java
@@ -28,7 +28,7 @@
 
   private static final Duration GIVEN_UP_CALL_DELAY = Duration.ofMillis(500);
 
-  private record BrokenCall(Fingerprint fingerprint, Consumer<Boolean> consumer) {}
+  private record BrokenCall(Fingerprint fingerprint, long sentNanos, Consumer<Boolean> consumer) {}
 
   private final EventLoop loop;
   private final FleetState fleet;
@@ -48,12 +48,13 @@
    * Finds out whether an upstream crashed while it had a request.
    *
    * @param exchange the request whose call broke
+   * @param sentNanos monotonic time at which it was sent
    * @param consumer receives true if the process has ended without having been about to leave
    */
-  void check(Instance target, RoutedExchange exchange, Consumer<Boolean> consumer) {
+  void check(Instance target, RoutedExchange exchange, long sentNanos, Consumer<Boolean> consumer) {
     EventLog.log(
         LogEvent.CALL_BROKEN, exchange.callerRequestId(), exchange.contentId(), target.id());
-    BrokenCall call = new BrokenCall(exchange.fingerprint(), consumer);
+    BrokenCall call = new BrokenCall(exchange.fingerprint(), sentNanos, consumer);
     List<BrokenCall> probing = brokenCalls.get(target);
     if (probing != null) {
       probing.add(call);
@@ -67,10 +68,10 @@
    * Checks some time later whether an upstream has crashed that did not respond to a request. Its
    * process may end only after the call has been given up.
    */
-  void checkLater(Instance target, RoutedExchange exchange) {
+  void checkLater(Instance target, RoutedExchange exchange, long sentNanos) {
     var unused =
         loop.schedule(
-            () -> check(target, exchange, crashed -> {}),
+            () -> check(target, exchange, sentNanos, crashed -> {}),
             GIVEN_UP_CALL_DELAY.toMillis(),
             TimeUnit.MILLISECONDS);
   }
@@ -87,9 +88,9 @@
       router.accept(
           new RoutingEvent.UpstreamCrashed(
               new UpstreamId(target.id()),
-              // A process crashes only once, whichever nodes report it and when.
               target.id() + "/" + target.startedMillis(),
-              calls.stream().map(BrokenCall::fingerprint).distinct().toList()));
+              calls.stream().map(BrokenCall::fingerprint).distinct().toList(),
+              calls.stream().mapToLong(BrokenCall::sentNanos).max().orElseThrow()));
     }
     calls.forEach(c -> c.consumer().accept(crashed));
   }
--- a/gateway/src/main/java/org/mustardlatch/gateway/EngineCalls.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/EngineCalls.java
@@ -52,7 +52,7 @@
   private final GatewayMetrics metrics;
   private final CrashDetector crashDetector;
   private final Consumer<RoutingEvent> eventSink;
-  private final Map<AttemptId, Call> calls = new HashMap<>();
+  private final Map<AttemptId, ActiveCall> calls = new HashMap<>();
   private final Map<AttemptId, EngineReservation> reservations = new HashMap<>();
 
   /**
@@ -167,11 +167,15 @@
 
   /** Tells a crash of the engine from other failures of a call that the engine may have got. */
   private void classify(
-      Instance target, GenerationStream s, CallFailure failure, Consumer<Failure> consumer) {
-    if (failure == CallFailure.BROKEN) {
+      @Nullable ActiveCall call,
+      GenerationStream s,
+      CallFailure failure,
+      Consumer<Failure> consumer) {
+    if (failure == CallFailure.BROKEN && call != null) {
       crashDetector.check(
-          target,
+          call.target,
           s.exchange,
+          call.sentNanos,
           crashed -> consumer.accept(crashed ? Failure.CRASHED : Failure.DISCONNECTED));
     } else {
       consumer.accept(Failure.DISCONNECTED);
@@ -181,7 +185,7 @@
   private void sendCall(
       AttemptId attempt, Instance target, CallRequest request, CallListener listener) {
     Call call = fleet.poolFor(target).send(request, listener);
-    calls.put(attempt, call);
+    calls.put(attempt, new ActiveCall(call, target, timers.nanos()));
   }
 
   /**
@@ -191,12 +195,11 @@
    */
   void cancel(RoutingCommand.CancelAttempt c, @Nullable GenerationStream s) {
     releaseReservation(c.attempt());
-    Call call = calls.remove(c.attempt());
-    if (call != null) {
-      call.cancel();
-      Instance engine = fleet.instance(c.upstream().value());
-      if (s != null && engine != null) {
-        crashDetector.checkLater(engine, s.exchange);
+    ActiveCall active = calls.remove(c.attempt());
+    if (active != null) {
+      active.call.cancel();
+      if (s != null) {
+        crashDetector.checkLater(active.target, s.exchange, active.sentNanos);
       }
     }
   }
@@ -218,6 +221,9 @@
         .send(request, new ReleaseResponseListener(handle.reference(), source.id()));
   }
 
+  /** A call in progress and the engine that it was sent to at a monotonic time. */
+  private record ActiveCall(Call call, Instance target, long sentNanos) {}
+
   /**
    * A reservation at an engine.
    *
@@ -325,10 +331,10 @@
 
     @Override
     public void failed(CallFailure failure, String reason) {
-      calls.remove(attempt);
+      ActiveCall call = calls.remove(attempt);
       recordFailure(failure + " " + reason);
       releaseReservation(attempt);
-      classify(source, stream, failure, f -> emit(new RoutingEvent.PrefillFailed(attempt, f)));
+      classify(call, stream, failure, f -> emit(new RoutingEvent.PrefillFailed(attempt, f)));
     }
 
     private void recordFailure(String reason) {
@@ -406,9 +412,9 @@
 
     /** Closes the connection of a response that would fill the memory. */
     private void abandon(String reason) {
-      Call call = calls.get(attempt);
-      if (call != null) {
-        call.cancel();
+      ActiveCall active = calls.get(attempt);
+      if (active != null) {
+        active.call.cancel();
       }
       failed(CallFailure.GARBLED, reason);
     }
@@ -433,9 +439,9 @@
 
     /** Reads from the engine only while the connection to the caller is writable. */
     private void applyBackpressure() {
-      Call call = calls.get(attempt);
-      if (call != null) {
-        call.setAutoRead(stream.exchange.caller().writable());
+      ActiveCall active = calls.get(attempt);
+      if (active != null) {
+        active.call.setAutoRead(stream.exchange.caller().writable());
       }
     }
 
@@ -464,13 +470,13 @@
 
     @Override
     public void failed(CallFailure failure, String reason) {
-      calls.remove(attempt);
+      ActiveCall call = calls.remove(attempt);
       stream.events.discardIncompleteEvent();
       recordFailure(failure + " " + reason);
       if (failure == CallFailure.NOT_SENT) {
         emit(new RoutingEvent.DecodeFailed(attempt, Failure.REFUSED));
       } else {
-        classify(target, stream, failure, f -> emit(new RoutingEvent.DecodeFailed(attempt, f)));
+        classify(call, stream, failure, f -> emit(new RoutingEvent.DecodeFailed(attempt, f)));
       }
     }
 
