Make a test of silent connections independent of the machine's speed

Now ten requests warm up the first upstream, and the second one takes 50 ms for each, so the estimate of the first is the lower one on a machine of any speed. What is checked stays: the request that is sent on the silent connection gets its response from the other upstream, within 20 requests.

--- a/gateway/src/test/java/org/mustardlatch/gateway/DataPathTest.java
+++ b/gateway/src/test/java/org/mustardlatch/gateway/DataPathTest.java
@@ -28,6 +28,12 @@
   private static final String OK_RESPONSE =
       "HTTP/1.1 200 OK\r\nId: q1\r\nMark: m\r\nContent-Length: 4\r\n\r\ndone";
 
+  /** Enough for the balancer's estimate to forget a slow first response. */
+  private static final int WARM_UP_REQUESTS = 10;
+
+  /** Below the 60 ms after which the gateway sends a request to a second upstream as well. */
+  private static final int SLOW_RESPONSE_MILLIS = 50;
+
   private ScriptedUpstream firstUpstream;
   private ScriptedUpstream secondUpstream;
   private TestGateway gateway;
@@ -147,16 +153,31 @@
   void sendsAnIdempotentRequestToAnotherUpstreamWhenAKeptAliveConnectionStopsResponding()
       throws Exception {
     gateway.addApplication("one", firstUpstream);
-    firstUpstream.respondToNextRequest(OK_RESPONSE);
-    assertThat(gateway.sendAndReadAll(get("/again/x"))).endsWith("done");
+    for (int i = 0; i < WARM_UP_REQUESTS; i++) {
+      firstUpstream.respondToNextRequest(OK_RESPONSE);
+      assertThat(gateway.sendAndReadAll(get("/again/x"))).endsWith("done");
+    }
     gateway.addApplication("two", secondUpstream);
-    for (int i = 0; firstUpstream.requests().size() < 2; i++) {
+    for (int i = 0; firstUpstream.requests().size() == WARM_UP_REQUESTS; i++) {
       assertWithMessage("requests that the second upstream received").that(i).isLessThan(20);
-      secondUpstream.respondToNextRequest(OK_RESPONSE);
+      // Slower than the first one, so that the balancer returns to it on a machine of any speed.
+      secondUpstream.onNextRequest(
+          (socket, out, request) -> {
+            sleep(SLOW_RESPONSE_MILLIS);
+            out.write(OK_RESPONSE.getBytes(UTF_8));
+          });
       assertThat(gateway.sendAndReadAll(get("/again/x"))).endsWith("done");
     }
   }
 
+  private static void sleep(long millis) {
+    try {
+      TimeUnit.MILLISECONDS.sleep(millis);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   private static List<String> headers(String message, String name) {
     return message
         .lines()
