Drop expired crash evidence, and check engines only for stages that they ran

Found on reading the diff: evidence that had expired stayed until the next crash, so every application request went on asking the router; and a reservation that was given up had its engine checked for a crash, which would have named a request that the engine did not run.

CrashEvidenceTest.expiresEvidenceTenMinutesAfterTheLastCrash checks the first; the second has no test.

--- a/core/src/main/java/org/mustardlatch/core/quarantine/CrashEvidence.java
+++ b/core/src/main/java/org/mustardlatch/core/quarantine/CrashEvidence.java
@@ -10,14 +10,15 @@
 
 /**
  * Record that one node keeps of the request contents (fingerprints) that were running on upstreams
- * when they crashed. Two different crashes quarantine a fingerprint if one of them cannot be
- * attributed to another one, three in any case. Evidence expires 10 minutes after the last crash.
+ * when they crashed. A fingerprint is quarantined after two different crashes, if in one of them no
+ * other fingerprint was running that was on two crashes as well, and after three in any case.
+ * Evidence expires 10 minutes after the last crash.
  */
 public final class CrashEvidence {
   /** Lifetime of evidence and quarantine after the last crash, nanoseconds. */
   public static final long LIFETIME_NANOS = 600_000_000_000L;
 
-  /** Number of different crashes after which a fingerprint is quarantined if it is the only one. */
+  /** Number of different crashes after which a fingerprint is quarantined as their only cause. */
   public static final int QUARANTINE_CRASHES = 2;
 
   /** Number of different crashes after which a fingerprint is quarantined in any case. */
@@ -112,6 +113,11 @@
     return true;
   }
 
+  /** Drops expired evidence. */
+  public void expire(long nowNanos) {
+    evictOldest(nowNanos);
+  }
+
   /** Returns the number of fingerprints with evidence. */
   public int size() {
     return entries.size();
--- a/core/src/main/java/org/mustardlatch/core/routing/CrashEvidenceCoordinator.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/CrashEvidenceCoordinator.java
@@ -180,9 +180,10 @@
     }
   }
 
-  /** Repeats recent reports, and drops expired permissions and reports. */
+  /** Repeats recent reports, and drops expired evidence, permissions and reports. */
   void tick() {
     suspectRuns.expire(commands.now());
+    evidence.expire(commands.now());
     recentReports.removeIf(r -> commands.now() - r.receivedNanos >= CrashEvidence.LIFETIME_NANOS);
     broadcastDueReports();
   }
--- a/core/src/test/java/org/mustardlatch/core/quarantine/CrashEvidenceTest.java
+++ b/core/src/test/java/org/mustardlatch/core/quarantine/CrashEvidenceTest.java
@@ -101,6 +101,8 @@
         .isEqualTo(SuspicionLevel.QUARANTINED);
     assertThat(evidence.suspicionLevel(CRASHING, CrashEvidence.LIFETIME_NANOS + 1))
         .isEqualTo(SuspicionLevel.CLEAN);
+    evidence.expire(CrashEvidence.LIFETIME_NANOS + 1);
+    assertThat(evidence.size()).isEqualTo(0);
   }
 
   @Test
--- a/gateway/src/main/java/org/mustardlatch/gateway/EngineCalls.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/EngineCalls.java
@@ -185,7 +185,8 @@
   private void sendCall(
       AttemptId attempt, Instance target, CallRequest request, CallListener listener) {
     Call call = fleet.poolFor(target).send(request, listener);
-    calls.put(attempt, new ActiveCall(call, target, timers.nanos()));
+    boolean stage = !(listener instanceof ReservationResponseListener);
+    calls.put(attempt, new ActiveCall(call, target, stage, timers.nanos()));
   }
 
   /**
@@ -198,7 +199,7 @@
     ActiveCall active = calls.remove(c.attempt());
     if (active != null) {
       active.call.cancel();
-      if (s != null) {
+      if (s != null && active.stage) {
         crashDetector.checkLater(active.target, s.exchange, active.sentNanos);
       }
     }
@@ -221,8 +222,13 @@
         .send(request, new ReleaseResponseListener(handle.reference(), source.id()));
   }
 
-  /** A call in progress and the engine that it was sent to at a monotonic time. */
-  private record ActiveCall(Call call, Instance target, long sentNanos) {}
+  /**
+   * A call in progress.
+   *
+   * @param stage whether the engine runs a stage of the request, rather than reserving for it
+   * @param sentNanos monotonic time at which it was sent
+   */
+  private record ActiveCall(Call call, Instance target, boolean stage, long sentNanos) {}
 
   /**
    * A reservation at an engine.
