--- a/core/src/test/java/org/mustardlatch/core/routing/NodeRouterTest.java
+++ b/core/src/test/java/org/mustardlatch/core/routing/NodeRouterTest.java
@@ -21,7 +21,9 @@
 import org.mustardlatch.core.model.HostId;
 import org.mustardlatch.core.model.RequestId;
 import org.mustardlatch.core.model.UpstreamId;
+import org.mustardlatch.core.peer.AdmissionMessage.CellSummary;
 import org.mustardlatch.core.peer.AdmissionMessage.Reserve;
+import org.mustardlatch.core.peer.AdmissionMessage.ReserveGranted;
 import org.mustardlatch.core.peer.EvidenceMessage.CrashReport;
 import org.mustardlatch.core.peer.EvidenceMessage.Verdict;
 
@@ -657,4 +659,55 @@
     requestApplicationRun(new RequestId("a1"), content);
     return lastCommandOfType(RoutingCommand.DecideApplicationRun.class).verdict();
   }
+
+  @Test
+  void startsNothingOnAnEngineThatIsLeavingByItsOwnManifest() {
+    List<Upstream> engines = Fixtures.enginePools(2, 2);
+    Upstream p = engines.getFirst();
+    engines.set(
+        0,
+        new Upstream(
+            p.id(),
+            p.role(),
+            p.model(),
+            p.zone(),
+            p.url(),
+            p.slots(),
+            p.prefillTokensPerSecond(),
+            p.memoryPieces(),
+            p.checksFencing(),
+            true));
+    handle(new RoutingEvent.ManifestApplied(2, Fixtures.manifest(Objective.CREST_AVERSE, engines)));
+    Member other = null;
+    for (int i = 1; other == null; i++) {
+      Member candidate = Fixtures.member(i, OSLO);
+      handle(new RoutingEvent.MembersChanged(List.of(Fixtures.member(0, OSLO), candidate)));
+      handle(new RoutingEvent.RequestArrived(Fixtures.request("r" + i, 2000, now)));
+      boolean asked =
+          commandsOfType(RoutingCommand.SendPeerMessage.class).stream()
+              .anyMatch(c -> c.message() instanceof Reserve);
+      other = asked ? candidate : null;
+    }
+    Reserve reserve =
+        (Reserve)
+            commandsOfType(RoutingCommand.SendPeerMessage.class).stream()
+                .map(RoutingCommand.SendPeerMessage::message)
+                .filter(m -> m instanceof Reserve)
+                .toList()
+                .getLast();
+    commands.clear();
+
+    // The other node does not know yet that the engine is leaving.
+    handle(
+        new RoutingEvent.PeerMessageReceived(
+            other.host(),
+            new ReserveGranted(
+                reserve.attempt(),
+                p.id(),
+                new UpstreamId("d0"),
+                SECOND,
+                new CellSummary(reserve.cell(), 1, 0))));
+
+    assertThat(commandsOfType(RoutingCommand.StartPrefill.class)).isEmpty();
+  }
 }
