--- a/gateway/src/main/java/org/mustardlatch/gateway/EngineCalls.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/EngineCalls.java
@@ -25,6 +25,7 @@
 import org.mustardlatch.gateway.http.CallListener;
 import org.mustardlatch.gateway.http.CallRequest;
 import org.mustardlatch.gateway.http.CallerExchange;
+import org.mustardlatch.gateway.http.ResponseEnd;
 import org.mustardlatch.gateway.log.EventLog;
 import org.mustardlatch.gateway.log.LogEvent;
 
@@ -452,12 +453,13 @@
     }
 
     @Override
-    public void completed() {
+    public void completed(ResponseEnd end) {
       calls.remove(attempt);
       BufferedResponse received = response;
       if (received == null) {
         return;
       }
+      stream.end = end;
       if (isUpstreamSuccess(received)) {
         forwardEvents(received, Unpooled.wrappedBuffer(stream.events.incompleteEventBytes()));
         beginCallerResponse(received);
--- a/gateway/src/main/java/org/mustardlatch/gateway/GenerationStream.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/GenerationStream.java
@@ -5,6 +5,7 @@
 import org.mustardlatch.core.model.RequestId;
 import org.mustardlatch.gateway.config.Instance;
 import org.mustardlatch.gateway.http.BufferedResponse;
+import org.mustardlatch.gateway.http.ResponseEnd;
 import org.mustardlatch.gateway.log.EventLog;
 import org.mustardlatch.gateway.log.LogEvent;
 
@@ -21,6 +22,9 @@
    */
   @Nullable BufferedResponse lastErrorResponse;
 
+  /** How the end of the last response to a decode was recognized. */
+  ResponseEnd end = ResponseEnd.FRAMING;
+
   GenerationStream(RoutedExchange exchange) {
     this.exchange = exchange;
     this.id = new RequestId(exchange.localId());
@@ -43,7 +47,9 @@
         timing.eventCount(),
         timing.firstEventMillis(),
         timing.longestPauseNanos() / 1_000_000,
-        timing.eventsBeforeLongestPause());
+        timing.eventsBeforeLongestPause(),
+        end,
+        events.incompleteEventBytes().length);
   }
 
   /** Logs that a stage of the request is sent to an engine. */
--- a/gateway/src/main/java/org/mustardlatch/gateway/http/BufferedResponseListener.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/http/BufferedResponseListener.java
@@ -26,7 +26,7 @@
   }
 
   @Override
-  public final void completed() {
+  public final void completed(ResponseEnd end) {
     responseReceived(requireResponse());
   }
 
--- a/gateway/src/main/java/org/mustardlatch/gateway/http/CallListener.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/http/CallListener.java
@@ -18,8 +18,8 @@
   /** Called for each part of the body; the buffer is only valid during the call. */
   void bodyReceived(ByteBuf part);
 
-  /** Called when the response is complete. */
-  void completed();
+  /** Called when the response has ended without a failure. */
+  void completed(ResponseEnd end);
 
   /** Called when the call has failed and no complete response will follow. */
   void failed(CallFailure failure, String reason);
--- a/gateway/src/main/java/org/mustardlatch/gateway/http/UpstreamConnection.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/http/UpstreamConnection.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.HttpObjectDecoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
@@ -37,6 +38,7 @@
   private boolean skippingResponse;
   private boolean headReceived;
   private boolean closeAfterResponse;
+  private ResponseEnd responseEnd = ResponseEnd.FRAMING;
   private boolean closed;
   private long keepAliveNanos = DEFAULT_KEEP_ALIVE.toNanos();
   private long idleSinceNanos;
@@ -135,6 +137,8 @@
       return;
     }
     headReceived = true;
+    boolean framed = HttpUtil.isTransferEncodingChunked(r) || HttpUtil.isContentLengthSet(r);
+    responseEnd = framed ? ResponseEnd.FRAMING : ResponseEnd.CONNECTION_CLOSE;
     readKeepAliveTimeout(r.headers());
     if (r.headers().containsValue(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true)
         || r.protocolVersion().equals(HttpVersion.HTTP_1_0)) {
@@ -203,7 +207,7 @@
     } else {
       close();
     }
-    c.listener().completed();
+    c.listener().completed(responseEnd);
   }
 
   private void failCall(CallFailure failure, String reason) {
--- a/gateway/src/main/java/org/mustardlatch/gateway/log/LogEvent.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/log/LogEvent.java
@@ -60,7 +60,8 @@
   STREAM_DELIVERED(
       8033,
       Level.INFO,
-      "request={} events={} first_event_ms={} longest_pause_ms={} longest_pause_after={}"),
+      "request={} events={} first_event_ms={} longest_pause_ms={} longest_pause_after={}"
+          + " ended_by={} partial_event_bytes={}"),
   CALLER_CONNECTION_BROKEN(8032, Level.INFO, "caller connection was broken already reason={}"),
   OBJECT_UNREADABLE(8019, Level.WARN, "object kind={} name={} unreadable reason={}"),
   SETTINGS_CHANGED(8029, Level.INFO, "reload requested; settings are read at the next start"),
