--- /dev/null
+++ b/gateway/src/test/java/org/mustardlatch/gateway/UnframedResponseTest.java
@@ -0,0 +1,256 @@
+package org.mustardlatch.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.Socket;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.mustardlatch.gateway.config.EngineStage;
+
+/**
+ * Guards against a response without length and chunks that is broken off and reaches the caller as
+ * complete.
+ */
+class UnframedResponseTest {
+  private static final String STREAM_HEAD =
+      "HTTP/1.1 200 OK\r\nId: q1\r\nMark: m\r\nContent-Type: text/event-stream\r\n\r\n";
+  private static final String JSON_HEAD =
+      "HTTP/1.1 200 OK\r\nId: q1\r\nMark: m\r\nContent-Type: application/json\r\n\r\n";
+  private static final String PREFILL_RESPONSE = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nkv";
+  private static final String EVENT_1 = "id: 1\ndata: a\n\n";
+  private static final String EVENT_2 = "id: 2\ndata: b\n\n";
+  private static final String LAST_CHUNK = "0\r\n\r\n";
+
+  private final CountDownLatch firstEventRead = new CountDownLatch(1);
+  private ScriptedUpstream prefill;
+  private ScriptedUpstream first;
+  private ScriptedUpstream second;
+  private TestGateway gateway;
+
+  @BeforeEach
+  void start() throws Exception {
+    prefill = new ScriptedUpstream();
+    first = new ScriptedUpstream();
+    second = new ScriptedUpstream();
+    gateway = new TestGateway();
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    gateway.close();
+    prefill.close();
+    first.close();
+    second.close();
+  }
+
+  /** Makes an upstream write a response and end its connection. */
+  private static void respondAndClose(ScriptedUpstream upstream, String response) {
+    upstream.onNextRequest(
+        (socket, out, request) -> {
+          out.write(response.getBytes(UTF_8));
+          out.flush();
+          socket.close();
+        });
+  }
+
+  /** Makes an upstream write a response and reset its connection. */
+  private void respondAndReset(ScriptedUpstream upstream, String response) {
+    upstream.onNextRequest(
+        (socket, out, request) -> {
+          out.write(response.getBytes(UTF_8));
+          out.flush();
+          reset(socket);
+        });
+  }
+
+  /** Resets a connection once the caller has the first event; earlier, the event would be lost. */
+  private void reset(Socket socket) throws IOException {
+    try {
+      var unused = firstEventRead.await(5, TimeUnit.SECONDS);
+    } catch (InterruptedException e) {
+      throw new IOException(e);
+    }
+    socket.setSoLinger(true, 0);
+    socket.close();
+  }
+
+  private String send(String path) throws IOException {
+    try (Socket s = gateway.connect()) {
+      String request =
+          "GET " + path + " HTTP/1.1\r\nHost: host\r\nId: q1\r\nConnection: close\r\n\r\n";
+      s.getOutputStream().write(request.getBytes(UTF_8));
+      return readUntilClosedOrReset(s);
+    }
+  }
+
+  private String readUntilClosedOrReset(Socket s) {
+    var received = new ByteArrayOutputStream();
+    try {
+      for (int b = s.getInputStream().read(); b >= 0; b = s.getInputStream().read()) {
+        received.write(b);
+        if (b == '\n' && received.toString(UTF_8).contains(EVENT_1)) {
+          firstEventRead.countDown();
+        }
+      }
+    } catch (IOException e) {
+      // The bytes received before a reset count.
+    }
+    return received.toString(UTF_8);
+  }
+
+  private static void assertBrokenOffAfterFirstEvent(String response) {
+    assertThat(response).startsWith("HTTP/1.1 200");
+    assertThat(response).contains(EVENT_1);
+    assertThat(response).doesNotContain("id: 2");
+    assertThat(response).doesNotContain(LAST_CHUNK);
+  }
+
+  private static void assertComplete(String response) {
+    assertThat(response).contains(EVENT_1);
+    assertThat(response).contains(EVENT_2);
+    assertThat(response.indexOf("id: 2")).isEqualTo(response.lastIndexOf("id: 2"));
+    assertThat(response).endsWith(LAST_CHUNK);
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"", "id", "id: 1\ndata: a", "id: 1\ndata: a\n"})
+  void streamThatEndsInsideItsFirstEventIsAnError(String part) throws Exception {
+    gateway.addEngine("first", first, EngineStage.DECODE);
+    respondAndClose(first, STREAM_HEAD + part);
+
+    assertThat(send("/stream/x")).startsWith("HTTP/1.1 502");
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"i", "id: 2\ndata: b", "id: 2\ndata: b\n"})
+  void streamThatEndsInsideALaterEventIsBrokenOff(String part) throws Exception {
+    gateway.addEngine("first", first, EngineStage.DECODE);
+    respondAndClose(first, STREAM_HEAD + EVENT_1 + part);
+
+    assertBrokenOffAfterFirstEvent(send("/stream/x"));
+  }
+
+  @Test
+  void streamThatEndsInsideAnEventAfterAPrefillIsBrokenOff() throws Exception {
+    gateway.addEngine("prefill", prefill, EngineStage.PREFILL);
+    gateway.addEngine("first", first, EngineStage.DECODE);
+    prefill.respondToNextRequest(PREFILL_RESPONSE);
+    respondAndClose(first, STREAM_HEAD + EVENT_1 + "id: 2\nda");
+
+    assertBrokenOffAfterFirstEvent(send("/stream/x"));
+    assertThat(first.requests().getFirst()).contains("decode kv");
+  }
+
+  @Test
+  void streamThatIsResetBetweenEventsIsBrokenOff() throws Exception {
+    gateway.addEngine("first", first, EngineStage.DECODE);
+    respondAndReset(first, STREAM_HEAD + EVENT_1);
+
+    assertBrokenOffAfterFirstEvent(send("/stream/x"));
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"\n", "\r\n"})
+  void streamThatEndsAfterAnEventIsComplete(String lineEnd) throws Exception {
+    gateway.addEngine("first", first, EngineStage.DECODE);
+    respondAndClose(first, STREAM_HEAD + (EVENT_1 + EVENT_2).replace("\n", lineEnd));
+
+    String response = send("/stream/x");
+    assertThat(response).contains(EVENT_1.replace("\n", lineEnd));
+    assertThat(response).contains(EVENT_2.replace("\n", lineEnd));
+    assertThat(response).endsWith(LAST_CHUNK);
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"", "id: 1\nda"})
+  void resumableStreamThatEndsInsideItsFirstEventRunsElsewhere(String part) throws Exception {
+    gateway.addEngine("first", first, EngineStage.DECODE);
+    gateway.addEngine("second", second, EngineStage.DECODE);
+    for (ScriptedUpstream u : new ScriptedUpstream[] {first, second}) {
+      u.onNextRequest(
+          (socket, out, request) -> {
+            boolean repeated = first.requests().size() + second.requests().size() > 1;
+            String body = repeated ? EVENT_1 + EVENT_2 : part;
+            out.write((STREAM_HEAD + body).getBytes(UTF_8));
+            out.flush();
+            socket.close();
+          });
+    }
+
+    assertComplete(send("/resumable/x"));
+  }
+
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void resumableStreamThatIsBrokenOffGoesOnAfterItsLastEvent(boolean reset) throws Exception {
+    gateway.addEngine("first", first, EngineStage.DECODE);
+    gateway.addEngine("second", second, EngineStage.DECODE);
+    for (ScriptedUpstream u : new ScriptedUpstream[] {first, second}) {
+      u.onNextRequest(
+          (socket, out, request) -> {
+            boolean resumed = request.contains("After: 1");
+            String body = resumed ? EVENT_2 : EVENT_1 + (reset ? "" : "id: 2\nda");
+            out.write((STREAM_HEAD + body).getBytes(UTF_8));
+            out.flush();
+            if (reset && !resumed) {
+              reset(socket);
+            }
+            socket.close();
+          });
+    }
+
+    assertComplete(send("/resumable/x"));
+  }
+
+  @Test
+  void eventStreamOfAnApplicationThatEndsInsideAnEventIsAnError() throws Exception {
+    gateway.addApplication("first", first);
+    respondAndClose(first, STREAM_HEAD + EVENT_1 + "id: 2\nda");
+
+    assertThat(send("/once/x")).startsWith("HTTP/1.1 502");
+  }
+
+  @Test
+  void eventStreamOfAnApplicationThatEndsInsideAnEventIsRepeatedIfIdempotent() throws Exception {
+    gateway.addApplication("first", first);
+    respondAndClose(first, STREAM_HEAD + EVENT_1 + "id: 2\nda");
+    respondAndClose(first, STREAM_HEAD + EVENT_1 + EVENT_2);
+    gateway.addApplication("second", second);
+    respondAndClose(second, STREAM_HEAD + EVENT_1 + EVENT_2);
+
+    assertThat(send("/again/x")).endsWith(EVENT_1 + EVENT_2);
+  }
+
+  @Test
+  void eventStreamOfAnApplicationThatEndsAfterAnEventIsDelivered() throws Exception {
+    gateway.addApplication("first", first);
+    respondAndClose(first, STREAM_HEAD + EVENT_1 + EVENT_2);
+
+    assertThat(send("/once/x")).endsWith(EVENT_1 + EVENT_2);
+  }
+
+  @Test
+  void otherResponseOfAnApplicationThatEndsWithItsConnectionIsDelivered() throws Exception {
+    gateway.addApplication("first", first);
+    respondAndClose(first, JSON_HEAD + "{\"order\":1}");
+
+    assertThat(send("/once/x")).endsWith("{\"order\":1}");
+  }
+
+  @Test
+  void otherResponseOfAnApplicationThatIsResetIsAnError() throws Exception {
+    gateway.addApplication("first", first);
+    firstEventRead.countDown();
+    respondAndReset(first, JSON_HEAD + "{\"order\"");
+
+    assertThat(send("/once/x")).startsWith("HTTP/1.1 502");
+  }
+}
