Treat a stream that ends with its connection inside an event as broken off

Cause: without a length and chunks the HTTP decoder reports the close of the connection as the end of the body. The handler of streams took this for completion and passed on the rest of the last event with the last chunk. The class of fault: an end that the transport can't tell from a break is trusted without a look at what the content says.

Now such a stream is complete only if it ends after an event and has at least one, unless its caller resumes after the last one. Otherwise it is handled like a broken connection: the engine is probed, a stream that may be resumed goes on after its last event elsewhere, the caller of any other gets 502 before the first event and a reset after it.

Ruled out: chunked streams and such with a length are not concerned, the decoder reports their early end as a failure; resets are reported as a failure before the end of the body, for streams of each framing.

--- a/gateway/src/main/java/org/mustardlatch/gateway/EngineCalls.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/EngineCalls.java
@@ -36,6 +36,8 @@
  * <p>Used on the event loop of the data path only.
  */
 final class EngineCalls {
+  private static final String LAST_EVENT_ID = "Last-Event-ID";
+
   // The engine starts to count the lifetime of an exported KV cache before its response arrives
   // here, so this node treats the cache as expired a little earlier.
   private static final Duration HANDLE_EXPIRY_MARGIN = Duration.ofMillis(50);
@@ -454,13 +456,15 @@
 
     @Override
     public void completed(ResponseEnd end) {
-      calls.remove(attempt);
+      ActiveCall call = calls.remove(attempt);
       BufferedResponse received = response;
       if (received == null) {
         return;
       }
       stream.end = end;
-      if (isUpstreamSuccess(received)) {
+      if (isUpstreamSuccess(received) && isBrokenOff(end)) {
+        callBroken(call, CallFailure.BROKEN, "connection closed inside an event");
+      } else if (isUpstreamSuccess(received)) {
         forwardEvents(received, Unpooled.wrappedBuffer(stream.events.incompleteEventBytes()));
         beginCallerResponse(received);
         emit(new RoutingEvent.DecodeFinished(attempt));
@@ -476,9 +480,24 @@
       }
     }
 
+    /**
+     * Returns whether a stream that only its connection delimits was cut off. A whole stream ends
+     * after an event; it has no event only if the caller resumes after the last one.
+     */
+    private boolean isBrokenOff(ResponseEnd end) {
+      boolean mayBeEmpty = stream.exchange.caller().head().headers().contains(LAST_EVENT_ID);
+      boolean endsAfterEvent =
+          stream.events.incompleteEventBytes().length == 0
+              && (mayBeEmpty || stream.events.eventCount() > 0);
+      return end == ResponseEnd.CONNECTION_CLOSE && !endsAfterEvent;
+    }
+
     @Override
     public void failed(CallFailure failure, String reason) {
-      ActiveCall call = calls.remove(attempt);
+      callBroken(calls.remove(attempt), failure, reason);
+    }
+
+    private void callBroken(@Nullable ActiveCall call, CallFailure failure, String reason) {
       stream.events.discardIncompleteEvent();
       recordFailure(failure + " " + reason);
       if (failure == CallFailure.NOT_SENT) {
--- a/gateway/src/test/java/org/mustardlatch/gateway/UnframedResponseTest.java
+++ b/gateway/src/test/java/org/mustardlatch/gateway/UnframedResponseTest.java
@@ -83,9 +83,14 @@
   }
 
   private String send(String path) throws IOException {
+    return send(path, "");
+  }
+
+  private String send(String path, String header) throws IOException {
     try (Socket s = gateway.connect()) {
       String request =
-          "GET " + path + " HTTP/1.1\r\nHost: host\r\nId: q1\r\nConnection: close\r\n\r\n";
+          "GET %s HTTP/1.1\r\nHost: host\r\nId: q1\r\n%sConnection: close\r\n\r\n"
+              .formatted(path, header);
       s.getOutputStream().write(request.getBytes(UTF_8));
       return readUntilClosedOrReset(s);
     }
@@ -169,6 +174,16 @@
     assertThat(response).endsWith(LAST_CHUNK);
   }
 
+  @Test
+  void streamThatItsCallerResumesAfterTheLastEventMayBeEmpty() throws Exception {
+    gateway.addEngine("first", first, EngineStage.DECODE);
+    respondAndClose(first, STREAM_HEAD);
+
+    String response = send("/resumable/x", "Last-Event-ID: 2\r\n");
+    assertThat(response).startsWith("HTTP/1.1 200");
+    assertThat(response).endsWith("\r\n\r\n" + LAST_CHUNK);
+  }
+
   @ParameterizedTest
   @ValueSource(strings = {"", "id: 1\nda"})
   void resumableStreamThatEndsInsideItsFirstEventRunsElsewhere(String part) throws Exception {
