End the backoff of an engine that finishes decodes

An engine that breaks off streams is blocked for 1, 2, 4, 8 and then 16 seconds, in order to retry one that keeps failing more and more rarely. The count of failures was reset by a finished prefill only, so a decode engine carried it on for good: after five failures at any time, between any number of finished streams, each further one cost 16 s of its slots. Callers of streams that may be resumed found no second engine.

A finished decode now resets the count. Found in BrokenStreamTest, whose resumed streams were broken off since "no cell can meet the first-token deadline", with three engines alive.

NodeRouterTest.usesAnEngineAgainSoonAfterAFailureIfItHasFinishedDecodesInBetween failed before and passes; the rest of NodeRouterTest is as before.

--- a/core/src/main/java/org/mustardlatch/core/routing/CellAdmission.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/CellAdmission.java
@@ -553,11 +553,12 @@
     }
   }
 
-  /** Blocks an engine that refused, failed or crashed. */
+  /** Blocks an engine that refused, failed or crashed, and ends the backoff of one that works. */
   private void recordOutcome(EngineState e, @Nullable Reservation r, Outcome outcome) {
     long now = commands.now();
     switch (outcome) {
-      case FINISHED, CANCELLED -> {}
+      case FINISHED -> e.failureCount = 0;
+      case CANCELLED -> {}
       case REFUSED ->
           e.blockedUntilNanos = Math.max(e.blockedUntilNanos, now + REFUSAL_BLOCK_NANOS);
       case FAILED -> {
--- a/core/src/main/java/org/mustardlatch/core/routing/EngineState.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/EngineState.java
@@ -53,7 +53,7 @@
   /** Monotonic time before which no work is sent, after a crash, failure or refusal. */
   long blockedUntilNanos = Long.MIN_VALUE;
 
-  /** Failures since the engine last finished a prefill. */
+  /** Failures since the engine last finished a prefill or a decode. */
   int failureCount;
 
   /** Time from which the oldest pending prefill is counted as running. */
--- a/core/src/test/java/org/mustardlatch/core/routing/NodeRouterTest.java
+++ b/core/src/test/java/org/mustardlatch/core/routing/NodeRouterTest.java
@@ -299,6 +299,25 @@
         .isEqualTo(2);
   }
 
+  @Test
+  void usesAnEngineAgainSoonAfterAFailureIfItHasFinishedDecodesInBetween() {
+    handle(
+        new RoutingEvent.ManifestApplied(
+            2, Fixtures.manifest(Objective.CREST_AVERSE, Fixtures.enginePools(1, 1))));
+    for (int i = 0; i < 5; i++) {
+      RoutingCommand.StartDecode good = finishPrefill(startPrefill("good" + i));
+      handle(new RoutingEvent.DecodeStarted(good.attempt()));
+      handle(new RoutingEvent.DecodeFinished(good.attempt()));
+      RoutingCommand.StartDecode bad = finishPrefill(startPrefill("bad" + i));
+      handle(new RoutingEvent.DecodeStarted(bad.attempt()));
+      handle(new RoutingEvent.DecodeFailed(bad.attempt(), Failure.DISCONNECTED));
+      handle(new RoutingEvent.CallerDisconnected(new RequestId("bad" + i)));
+      advanceTime(1_100 * MILLI);
+    }
+
+    assertThat(startPrefill("next").attempt().request()).isEqualTo(new RequestId("next"));
+  }
+
   @Test
   void runsPrefillAndDecodeOnAMixedEngineInOneSlot() {
     handle(
