Treat event streams of applications that end inside an event as broken off

The same fault as with streams of engines, in the handlers that buffer a response: an event stream without a length and chunks whose connection ends inside an event was passed on as a complete answer, with a length that the node computed. On the platform path that is an application route (a service that is no engine); on the own interface it is a pass-through route, whose keyed requests would also record the short answer for repetitions.

Both now ask EventStreams whether the body ends after an event. On the platform path the call counts as broken (idempotent requests are sent again, others get 502), on the own interface as one of unknown outcome. Other media types stay: their end can't be told from a break, unless the connection is reset, which was an error before.

Ruled out on the own interface: streams of engines complete only with a finish reason or [DONE] (DecodeCall), and answers to prefills must parse as JSON on both paths. These were read, not tested anew.

--- a/daemon/src/main/java/org/mustardlatch/daemon/upstream/ApplicationClient.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/upstream/ApplicationClient.java
@@ -20,6 +20,7 @@
 import okio.ByteString;
 import org.jspecify.annotations.Nullable;
 import org.mustardlatch.core.model.UpstreamId;
+import org.mustardlatch.gateway.http.EventStreams;
 
 /** HTTP client for application services. Each call blocks the calling thread until it ends. */
 public final class ApplicationClient {
@@ -84,8 +85,12 @@
         .forEach((name, values) -> values.forEach(value -> builder.addHeader(name, value)));
     builder.method(request.method(), body(request));
     try (Response response = singleCallClient.newCall(builder.build()).execute()) {
+      byte[] responseBody = readBody(response);
+      if (isCutOff(response, responseBody)) {
+        return new ApplicationResult.Unknown("connection closed inside an event");
+      }
       return new ApplicationResult.Responded(
-          response.code(), headers(response), ByteString.of(readBody(response)));
+          response.code(), headers(response), ByteString.of(responseBody));
     } catch (IOException e) {
       host.evictConnections();
       return listener.mayHaveBeenSent()
@@ -94,6 +99,15 @@
     }
   }
 
+  /** Returns whether an event stream that only its connection delimits ends inside an event. */
+  private static boolean isCutOff(Response response, byte[] body) {
+    boolean framed =
+        response.header("Content-Length") != null || response.header("Transfer-Encoding") != null;
+    return !framed
+        && EventStreams.isEventStream(response.header("Content-Type"))
+        && !EventStreams.endsAfterEvent(body);
+  }
+
   private static byte[] readBody(Response response) throws IOException {
     byte[] bytes =
         ByteStreams.limit(response.body().byteStream(), MAX_RESPONSE_BYTES + 1L).readAllBytes();
--- a/gateway/src/main/java/org/mustardlatch/gateway/http/BufferedResponseListener.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/http/BufferedResponseListener.java
@@ -1,6 +1,7 @@
 package org.mustardlatch.gateway.http;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.Objects;
 import org.jspecify.annotations.Nullable;
@@ -27,7 +28,15 @@
 
   @Override
   public final void completed(ResponseEnd end) {
-    responseReceived(requireResponse());
+    BufferedResponse r = requireResponse();
+    String contentType = r.head().headers().get(HttpHeaderNames.CONTENT_TYPE);
+    if (end == ResponseEnd.CONNECTION_CLOSE
+        && EventStreams.isEventStream(contentType)
+        && !EventStreams.endsAfterEvent(r.body())) {
+      failed(CallFailure.BROKEN, "connection closed inside an event");
+    } else {
+      responseReceived(r);
+    }
   }
 
   private BufferedResponse requireResponse() {
