Treat a response whose connection fails at writing the request as broken off

A response without length and chunks was delivered as complete although its connection had been reset, if the request was still being written: the reset is then reported to the write, which closes the connection, and the decoder takes the close for the end of the response.

A write error other than the orderly close of the connection now fails the call. An upstream that responds early and closes in order is served as before.

UnframedResponseTest.responseWhoseConnectionIsResetWhileTheRequestIsWrittenIsAnError failed before (200 with a short body) and passes. Requests that fit into the buffers of the sockets were not concerned; a reset that the read sees was an error before.

--- a/gateway/src/main/java/org/mustardlatch/gateway/http/UpstreamConnection.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/http/UpstreamConnection.java
@@ -19,6 +19,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.nio.channels.ClosedChannelException;
 import java.time.Duration;
 import org.jspecify.annotations.Nullable;
 
@@ -190,10 +191,26 @@
       c.listener().bodyReceived(content.content());
     }
     if (content instanceof LastHttpContent && call == c) {
-      completeCall(c);
+      Throwable writeError = writeError();
+      if (responseEnd == ResponseEnd.CONNECTION_CLOSE && writeError != null) {
+        failCall(CallFailure.BROKEN, "request not written: " + writeError.getMessage());
+      } else {
+        completeCall(c);
+      }
     }
   }
 
+  /**
+   * Returns the error at which the request could not be written, which closes the connection as an
+   * end of the response would. An upstream that responds early may close it in order; the rest of
+   * the request then fails with a {@link ClosedChannelException}.
+   */
+  private @Nullable Throwable writeError() {
+    ChannelFuture w = requestWritten;
+    Throwable cause = w == null ? null : w.cause();
+    return cause instanceof ClosedChannelException ? null : cause;
+  }
+
   private void completeCall(Call c) {
     call = null;
     ChannelFuture w = requestWritten;
--- a/gateway/src/test/java/org/mustardlatch/gateway/UnframedResponseTest.java
+++ b/gateway/src/test/java/org/mustardlatch/gateway/UnframedResponseTest.java
@@ -5,6 +5,9 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -27,6 +30,10 @@
   private static final String PREFILL_RESPONSE = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nkv";
   private static final String EVENT_1 = "id: 1\ndata: a\n\n";
   private static final String EVENT_2 = "id: 2\ndata: b\n\n";
+
+  /** More than the sockets between the node and an upstream hold. */
+  private static final int LARGE_BODY_BYTES = 4_000_000;
+
   private static final String LAST_CHUNK = "0\r\n\r\n";
 
   private final CountDownLatch firstEventRead = new CountDownLatch(1);
@@ -96,6 +103,25 @@
     }
   }
 
+  private String sendWithBody(String path, int length) throws IOException {
+    try (Socket s = gateway.connect()) {
+      String head =
+          """
+          POST %s HTTP/1.1
+          Host: host
+          Id: q1
+          Content-Length: %d
+          Connection: close
+
+          """
+              .formatted(path, length)
+              .replace("\n", "\r\n");
+      s.getOutputStream().write(head.getBytes(UTF_8));
+      s.getOutputStream().write(new byte[length]);
+      return readUntilClosedOrReset(s);
+    }
+  }
+
   private String readUntilClosedOrReset(Socket s) {
     var received = new ByteArrayOutputStream();
     try {
@@ -260,6 +286,31 @@
     assertThat(send("/once/x")).endsWith("{\"order\":1}");
   }
 
+  @Test
+  void responseWhoseConnectionIsResetWhileTheRequestIsWrittenIsAnError() throws Exception {
+    try (ServerSocket server = new ServerSocket()) {
+      server.setReceiveBufferSize(4_096);
+      server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+      gateway.addApplication("first", (InetSocketAddress) server.getLocalSocketAddress());
+      Thread.ofVirtual().start(() -> respondBeforeTheBodyIsReadAndReset(server));
+      String response = sendWithBody("/once/x", LARGE_BODY_BYTES);
+
+      assertThat(response).startsWith("HTTP/1.1 502");
+    }
+  }
+
+  private void respondBeforeTheBodyIsReadAndReset(ServerSocket server) {
+    try (Socket s = server.accept()) {
+      s.getOutputStream().write((JSON_HEAD + "{\"order\"").getBytes(UTF_8));
+      s.getOutputStream().flush();
+      firstEventRead.countDown();
+      TimeUnit.MILLISECONDS.sleep(300);
+      reset(s);
+    } catch (IOException | InterruptedException e) {
+      throw new AssertionError(e);
+    }
+  }
+
   @Test
   void otherResponseOfAnApplicationThatIsResetIsAnError() throws Exception {
     gateway.addApplication("first", first);
