--- a/gateway/src/main/java/org/mustardlatch/gateway/GenerationRequestHandler.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/GenerationRequestHandler.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import org.mustardlatch.core.model.AttemptId;
 import org.mustardlatch.core.model.ModelId;
 import org.mustardlatch.core.model.RequestId;
@@ -50,6 +51,7 @@
   private static final double HINT_WEIGHT = 0.66;
   private static final double HINT_SMOOTHING_FACTOR = 0.05;
   private static final int HTTP_OK = 200;
+  private static final int MAX_LOGGED_PARTS = 8;
 
   private final FleetState fleet;
   private final TimerService timers;
@@ -166,13 +168,22 @@
         metadata.maxOutputTokens(),
         metadata.lengthHint(),
         late,
-        exchange.earlierWaitNanos() / 1_000_000);
+        exchange.earlierWaitNanos() / 1_000_000,
+        describeParts(metadata));
     GenerationStream s = new GenerationStream(exchange);
     streams.put(request.id(), s);
     streamsByCaller.put(exchange.caller(), s);
     runner.handle(new RoutingEvent.RequestArrived(request));
   }
 
+  /** Returns the digests of the first parts of the prompt, for the log. */
+  private static String describeParts(RequestMetadata metadata) {
+    return metadata.promptParts().stream()
+        .limit(MAX_LOGGED_PARTS)
+        .map(p -> Long.toHexString(p.contentDigest()))
+        .collect(Collectors.joining(","));
+  }
+
   /**
    * Returns the number of output tokens to plan KV memory for. Outputs grow while they are
    * generated, so on average half of each output is in memory. Without a length hint, returns the
--- a/gateway/src/main/java/org/mustardlatch/gateway/log/LogEvent.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/log/LogEvent.java
@@ -56,7 +56,8 @@
   GENERATION_ARRIVED(
       8031,
       Level.INFO,
-      "request={} name={} route={} prompt_tokens={} max_output={} hint={} late={} waited_ms={}"),
+      "request={} name={} route={} prompt_tokens={} max_output={} hint={} late={} waited_ms={}"
+          + " parts={}"),
   STREAM_DELIVERED(
       8033,
       Level.INFO,
