Count calls of an engine that fail together as one failure

An engine that keeps failing is retried after 1 s, 2 s, 4 s and so on. Each failed call doubled the time, also calls that had been sent before the engine was blocked: four calls that fail together blocked it for 8 s. In CrashingPromptPartTest engines that had just started again stayed blocked for more than 8 s, and requests beside the cause got 503.

Only a failure after the block has ended doubles the time now. NodeRouterTest.usesAnEngineAgainSoonAfterSeveralOfItsCallsFailedTogether failed before and passes. One failure, and failures one after the other, block for as long as before.

--- a/core/src/main/java/org/mustardlatch/core/routing/CellAdmission.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/CellAdmission.java
@@ -48,11 +48,8 @@
 
   // Requests at the head of the queue that are tried when the first one has no fitting engine.
   private static final int QUEUE_LOOKAHEAD = 4;
-  // A blocked engine gets no new work for this time after a crash, a failure or a refusal.
+  // A blocked engine gets no new work for this time after a crash or a refusal.
   private static final long CRASH_BLOCK_NANOS = 3_000_000_000L;
-  // An engine that keeps failing is retried after 1 s, 2 s, 4 s and so on, up to 16 s.
-  private static final int MAX_BACKOFF_DOUBLINGS = 4;
-  private static final long FAILURE_BLOCK_NANOS = 1_000_000_000L;
   private static final long REFUSAL_BLOCK_NANOS = 150_000_000L;
   // Averages the request size over about the last ten requests.
   private static final double NEWEST_SIZE_WEIGHT = 0.1;
@@ -562,8 +559,7 @@
       case REFUSED ->
           e.blockedUntilNanos = Math.max(e.blockedUntilNanos, now + REFUSAL_BLOCK_NANOS);
       case FAILED -> {
-        e.blockFor(now, FAILURE_BLOCK_NANOS << Math.min(MAX_BACKOFF_DOUBLINGS, e.failureCount));
-        e.failureCount++;
+        e.blockAfterFailure(now);
         if (r != null && r.stage == Stage.TRANSFER) {
           transferLimiter.reduceLimit(now);
         }
--- a/core/src/main/java/org/mustardlatch/core/routing/EngineState.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/EngineState.java
@@ -20,6 +20,10 @@
 
   private static final int MIN_PREFIX_BLOCKS = 64;
 
+  // An engine that keeps failing is retried after 1 s, 2 s, 4 s and so on, up to 16 s.
+  private static final long FAILURE_BLOCK_NANOS = 1_000_000_000L;
+  private static final int MAX_BACKOFF_DOUBLINGS = 4;
+
   /** The engine as the active manifest declares it. */
   Upstream upstream;
 
@@ -84,6 +88,15 @@
     blockedUntilNanos = Math.max(blockedUntilNanos, now + durationNanos);
   }
 
+  /**
+   * Blocks an engine whose call failed, for longer each time that it is retried. Calls that fail
+   * while it is blocked were sent before, and failed together with the first one.
+   */
+  void blockAfterFailure(long now) {
+    failureCount += now >= blockedUntilNanos ? 1 : 0;
+    blockFor(now, FAILURE_BLOCK_NANOS << Math.clamp(failureCount - 1, 0, MAX_BACKOFF_DOUBLINGS));
+  }
+
   int freeSlots() {
     return Math.max(0, upstream.slots() - reservedSlots - unreservedAttempts);
   }
--- a/core/src/test/java/org/mustardlatch/core/routing/NodeRouterTest.java
+++ b/core/src/test/java/org/mustardlatch/core/routing/NodeRouterTest.java
@@ -318,6 +318,25 @@
     assertThat(startPrefill("next").attempt().request()).isEqualTo(new RequestId("next"));
   }
 
+  @Test
+  void usesAnEngineAgainSoonAfterSeveralOfItsCallsFailedTogether() {
+    handle(
+        new RoutingEvent.ManifestApplied(
+            2, Fixtures.manifest(Objective.CREST_AVERSE, Fixtures.enginePools(1, 1))));
+    List<RoutingCommand.StartDecode> decodes = new ArrayList<>();
+    for (int i = 0; i < 4; i++) {
+      decodes.add(finishPrefill(startPrefill("r" + i)));
+    }
+    decodes.forEach(d -> handle(new RoutingEvent.DecodeStarted(d.attempt())));
+    for (RoutingCommand.StartDecode d : decodes) {
+      handle(new RoutingEvent.DecodeFailed(d.attempt(), Failure.DISCONNECTED));
+      handle(new RoutingEvent.CallerDisconnected(d.attempt().request()));
+    }
+    advanceTime(1_100 * MILLI);
+
+    assertThat(startPrefill("next").attempt().request()).isEqualTo(new RequestId("next"));
+  }
+
   @Test
   void runsPrefillAndDecodeOnAMixedEngineInOneSlot() {
     handle(
