Quarantine a prompt part that crashes each engine that decodes it

Cause: crash evidence named the whole content of a request only. No content came twice, so nothing was ever on two crashes, though each crash was noticed and shared.

PromptPartEvidence counts crashes for each part of a prompt but the last. A request that completes clears its parts. A part that was never cleared is quarantined after three crashes in a row, of which each hit a request that was sent after the crash before. Parts that were nearly always on the same crashes can't be told apart by that: prompts with all of them are refused, one prompt at a time with few of them runs as a test, and either clears them or shows which it is. PromptPartQuarantine shares crashes and cleared parts, repeats reports, and tells nodes that join. Requests are checked before each stage, so also one whose prefill has ended. Both paths use it: gateways take the parts of the header, daemons the messages of a chat or the blocks of a text.

--- a/core/src/main/java/org/mustardlatch/core/peer/EvidenceMessage.java
+++ b/core/src/main/java/org/mustardlatch/core/peer/EvidenceMessage.java
@@ -33,6 +33,38 @@
   /** Reports that a suspect ran to completion without a crash. */
   record Cleared(Fingerprint fingerprint) implements EvidenceMessage {}
 
+  /**
+   * Reports that an engine crashed while it had requests with these prompt parts.
+   *
+   * @param ageNanos time since the crash was noticed
+   */
+  record PromptCrashReport(UpstreamId upstream, long ageNanos, List<PromptPartRun> runs)
+      implements EvidenceMessage {
+    /** Copies the list. */
+    public PromptCrashReport {
+      runs = List.copyOf(runs);
+    }
+  }
+
+  /**
+   * A prompt part on an engine that crashed.
+   *
+   * @param leadNanos time from the sending of the last request with it until the crash was noticed
+   */
+  record PromptPartRun(Fingerprint part, long leadNanos) {}
+
+  /**
+   * Reports that a request with these prompt parts completed.
+   *
+   * @param id identifier of the message, so that later ones with the same parts are no repetitions
+   */
+  record PromptPartsCleared(String id, List<Fingerprint> parts) implements EvidenceMessage {
+    /** Copies the list. */
+    public PromptPartsCleared {
+      parts = List.copyOf(parts);
+    }
+  }
+
   /** Reports the first sign that an upstream is leaving. */
   record LeavingNotice(UpstreamId upstream) implements EvidenceMessage {}
 
--- a/core/src/main/java/org/mustardlatch/core/routing/Attempt.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/Attempt.java
@@ -63,6 +63,9 @@
   /** KV cache that the decode engine fetches; null before the transfer. */
   @Nullable KvHandle kvHandle;
 
+  /** Time at which the prefill or, later, the decode was sent to its engine. */
+  long stageSentNanos;
+
   /** Time of the grant. */
   long grantedNanos;
 
--- a/core/src/main/java/org/mustardlatch/core/routing/AttemptDriver.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/AttemptDriver.java
@@ -161,6 +161,7 @@
       throw new IllegalStateException("attempt " + a.id + " has no prefill engine");
     }
     a.enterState(Attempt.State.PREFILL, commands.now());
+    a.stageSentNanos = commands.now();
     commands.emit(new RoutingCommand.StartPrefill(a.id, prefill));
   }
 
@@ -172,6 +173,7 @@
     }
     a.kvHandle = kvHandle;
     a.enterState(Attempt.State.TRANSFER, commands.now());
+    a.stageSentNanos = commands.now();
     commands.emit(new RoutingCommand.StartDecode(a.id, decode, kvHandle, q.tokensSent));
   }
 
--- a/core/src/main/java/org/mustardlatch/core/routing/AttemptStarter.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/AttemptStarter.java
@@ -4,15 +4,19 @@
 import java.util.List;
 import org.jspecify.annotations.Nullable;
 import org.mustardlatch.core.error.ErrorCode;
+import org.mustardlatch.core.model.Fingerprint;
 import org.mustardlatch.core.model.RegionId;
 import org.mustardlatch.core.peer.EvidenceMessage.Verdict;
 import org.mustardlatch.core.quarantine.CrashEvidence;
 import org.mustardlatch.core.quarantine.CrashEvidence.SuspicionLevel;
+import org.mustardlatch.core.quarantine.PromptPartEvidence.Suspicion.None;
+import org.mustardlatch.core.quarantine.PromptPartEvidence.Suspicion.Quarantined;
+import org.mustardlatch.core.quarantine.PromptPartEvidence.Suspicion.Suspect;
 
 /**
  * Starts the attempts of a request: checks for quarantine, requests the permission that a suspect
  * needs to run, and chooses a cell of this or another region. A suspect is a request whose content
- * was on an engine that crashed.
+ * was on an engine that crashed, or with a part that may be the cause of several crashes.
  */
 final class AttemptStarter {
   private static final int MAX_LOCAL_CELLS = 2;
@@ -32,6 +36,7 @@
   private final CommandCollector commands;
   private final NodeSettings settings;
   private final CrashEvidence evidence;
+  private final PromptPartQuarantine promptParts;
   private final RunPermissionClient permissionClient;
   private final CellChooser cellChooser;
   private final CrossRegionPolicy crossRegionPolicy;
@@ -45,6 +50,7 @@
 
   AttemptStarter(
       CellAdmission.Environment env,
+      PromptPartQuarantine promptParts,
       RunPermissionClient permissionClient,
       CellChooser cellChooser,
       CrossRegionPolicy crossRegionPolicy,
@@ -54,6 +60,7 @@
     this.commands = env.commands();
     this.settings = env.settings();
     this.evidence = env.evidence();
+    this.promptParts = promptParts;
     this.permissionClient = permissionClient;
     this.cellChooser = cellChooser;
     this.crossRegionPolicy = crossRegionPolicy;
@@ -86,16 +93,38 @@
       callbacks.refuse(q, ErrorCode.DEADLINE_EXCEEDED, "the final deadline passed", Duration.ZERO);
       return;
     }
+    if (refuseIfPartQuarantined(q)) {
+      return;
+    }
     SuspicionLevel suspicionLevel = evidence.suspicionLevel(q.request.fingerprint(), now);
     if (suspicionLevel == SuspicionLevel.QUARANTINED) {
       refuseQuarantined(q);
-    } else if (suspicionLevel == SuspicionLevel.SUSPECT && !q.suspectRunPermitted) {
-      requestPermission(q);
+    } else if (q.suspectRunPermitted) {
+      startLocally(q);
+    } else if (promptParts.suspicion(q.request.promptParts()) instanceof Suspect(Fingerprint p)) {
+      q.suspectPart = p;
+      requestPermission(q, p);
+    } else if (suspicionLevel == SuspicionLevel.SUSPECT) {
+      requestPermission(q, q.request.fingerprint());
     } else {
       startLocally(q);
     }
   }
 
+  /** Refuses a request if a part of its prompt is quarantined; returns whether it is. */
+  boolean refuseIfPartQuarantined(EntryRequest q) {
+    return switch (promptParts.suspicion(q.request.promptParts())) {
+      case Quarantined(Fingerprint part) -> {
+        String detail =
+            "part " + PromptPartQuarantine.shortName(part) + " of its prompt crashed engines";
+        callbacks.refuse(q, ErrorCode.REQUEST_QUARANTINED, detail, Duration.ZERO);
+        yield true;
+      }
+      case Suspect s -> false;
+      case None n -> false;
+    };
+  }
+
   /**
    * Starts an attempt in a cell of this region. Prefers another region if that cell has no prefill
    * engine, and falls back to it if no local cell is left.
@@ -179,12 +208,11 @@
     }
   }
 
-  private void requestPermission(EntryRequest q) {
+  private void requestPermission(EntryRequest q, Fingerprint suspect) {
     q.awaitsPermission = true;
     long deadline =
         q.tokensSent == 0 ? q.request.firstTokenDeadlineNanos() : q.request.finalDeadlineNanos();
-    permissionClient.request(
-        q.request.id(), q.request.fingerprint(), "", deadline, v -> handleVerdict(q, v));
+    permissionClient.request(q.request.id(), suspect, "", deadline, v -> handleVerdict(q, v));
   }
 
   private void handleVerdict(EntryRequest q, Verdict verdict) {
@@ -203,7 +231,7 @@
 
   private void startPermitted(EntryRequest q) {
     q.suspectRunPermitted = true;
-    q.ranAsSuspect = true;
+    q.ranAsSuspect |= q.suspectPart == null;
     commands.explain(q.request.id(), "suspect_permitted", "one attempt after a crash");
     startLocally(q);
   }
--- a/core/src/main/java/org/mustardlatch/core/routing/CrashEvidenceCoordinator.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/CrashEvidenceCoordinator.java
@@ -17,6 +17,8 @@
 import org.mustardlatch.core.peer.EvidenceMessage.RunRequest;
 import org.mustardlatch.core.peer.EvidenceMessage.Verdict;
 import org.mustardlatch.core.quarantine.CrashEvidence;
+import org.mustardlatch.core.quarantine.CrashEvidence.SuspicionLevel;
+import org.mustardlatch.core.quarantine.PromptPartEvidence;
 import org.mustardlatch.core.quarantine.SuspectRunPermissions;
 
 /**
@@ -56,6 +58,7 @@
 
   private final CommandCollector commands;
   private final CrashEvidence evidence;
+  private final PromptPartEvidence promptPartEvidence;
   private final SuspectRunPermissions suspectRuns = new SuspectRunPermissions();
   private final ArrayDeque<RecentReport> recentReports = new ArrayDeque<>();
   private Topology topology;
@@ -63,9 +66,14 @@
   private long incarnation;
 
   CrashEvidenceCoordinator(
-      CommandCollector commands, CrashEvidence evidence, Topology topology, long incarnation) {
+      CommandCollector commands,
+      CrashEvidence evidence,
+      PromptPartEvidence promptPartEvidence,
+      Topology topology,
+      long incarnation) {
     this.commands = commands;
     this.evidence = evidence;
+    this.promptPartEvidence = promptPartEvidence;
     this.topology = topology;
     this.incarnation = incarnation;
   }
@@ -171,7 +179,7 @@
                 r.fingerprint(),
                 r.attempt(),
                 r.group(),
-                evidence.suspicionLevel(r.fingerprint(), commands.now()),
+                suspicionLevel(r.fingerprint()),
                 commands.now());
         commands.send(from, new RunPermission(r.fingerprint(), r.attempt(), verdict));
       }
@@ -180,6 +188,19 @@
     }
   }
 
+  /** Returns the suspicion level of the content of a request, or of a part of a prompt. */
+  private SuspicionLevel suspicionLevel(Fingerprint fingerprint) {
+    SuspicionLevel partLevel = promptPartEvidence.suspicionLevel(fingerprint);
+    return partLevel == SuspicionLevel.CLEAN
+        ? evidence.suspicionLevel(fingerprint, commands.now())
+        : partLevel;
+  }
+
+  /** Ends the permission for a run of a suspect that crashed or completed. */
+  void suspectRunEnded(Fingerprint fingerprint) {
+    suspectRuns.runEnded(fingerprint);
+  }
+
   /** Repeats recent reports, and drops expired evidence, permissions and reports. */
   void tick() {
     suspectRuns.expire(commands.now());
--- a/core/src/main/java/org/mustardlatch/core/routing/EntryRequest.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/EntryRequest.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.mustardlatch.core.model.AttemptId;
+import org.mustardlatch.core.model.Fingerprint;
 import org.mustardlatch.core.model.UpstreamId;
 
 /** State of a caller's request at its entry node, from its arrival to the final response. */
@@ -36,6 +37,9 @@
   /** Whether the permission to run as a suspect was granted and not used up by a crash. */
   boolean suspectRunPermitted;
 
+  /** Prompt part whose permission to run was requested; null if none was. */
+  @Nullable Fingerprint suspectPart;
+
   /** Whether an attempt ran with the permission for a suspect. */
   boolean ranAsSuspect;
 
--- a/core/src/main/java/org/mustardlatch/core/routing/GenerationRequest.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/GenerationRequest.java
@@ -24,6 +24,7 @@
  * @param maxRuns maximum number of engines that may start the generation, at least 1
  * @param plannedOutputTokens output tokens for which KV memory is planned; engines preempt requests
  *     whose output becomes longer
+ * @param promptParts digests of the parts of the prompt that other requests may share
  */
 public record GenerationRequest(
     RequestId id,
@@ -38,10 +39,12 @@
     long finalDeadlineNanos,
     boolean resumable,
     int maxRuns,
-    int plannedOutputTokens) {
-  /** Copies the list and checks {@code maxRuns}. */
+    int plannedOutputTokens,
+    List<Fingerprint> promptParts) {
+  /** Copies the lists and checks {@code maxRuns}. */
   public GenerationRequest {
     prefixBlocks = List.copyOf(prefixBlocks);
+    promptParts = List.copyOf(promptParts);
     if (maxRuns < 1) {
       throw new IllegalArgumentException("maxRuns must be at least 1, got " + maxRuns);
     }
@@ -49,7 +52,7 @@
 
   /**
    * Creates a request that may be resumed on any number of engines, with KV memory planned for all
-   * output tokens.
+   * output tokens and no parts that other requests share.
    */
   public GenerationRequest(
       RequestId id,
@@ -75,6 +78,26 @@
         finalDeadlineNanos,
         true,
         Integer.MAX_VALUE,
-        maxOutputTokens);
+        maxOutputTokens,
+        List.of());
+  }
+
+  /** Returns the same request with other parts of its prompt. */
+  public GenerationRequest withPromptParts(List<Fingerprint> parts) {
+    return new GenerationRequest(
+        id,
+        workspace,
+        model,
+        promptTokens,
+        maxOutputTokens,
+        promptBytes,
+        prefixBlocks,
+        fingerprint,
+        firstTokenDeadlineNanos,
+        finalDeadlineNanos,
+        resumable,
+        maxRuns,
+        plannedOutputTokens,
+        parts);
   }
 }
--- a/core/src/main/java/org/mustardlatch/core/routing/NodeRouter.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/NodeRouter.java
@@ -15,11 +15,14 @@
 import org.mustardlatch.core.peer.EvidenceMessage;
 import org.mustardlatch.core.peer.EvidenceMessage.CrashReport;
 import org.mustardlatch.core.peer.EvidenceMessage.LeavingNotice;
+import org.mustardlatch.core.peer.EvidenceMessage.PromptCrashReport;
+import org.mustardlatch.core.peer.EvidenceMessage.PromptPartsCleared;
 import org.mustardlatch.core.peer.EvidenceMessage.RunPermission;
 import org.mustardlatch.core.peer.EvidenceMessage.Verdict;
 import org.mustardlatch.core.peer.PeerMessage;
 import org.mustardlatch.core.quarantine.CrashEvidence;
 import org.mustardlatch.core.quarantine.CrashEvidence.SuspicionLevel;
+import org.mustardlatch.core.quarantine.PromptPartEvidence;
 
 /**
  * Makes the routing decisions of one node for generation requests. A node is the entry node of its
@@ -42,6 +45,8 @@
   private final PauseDetector pauseDetector = new PauseDetector();
   private final LeavingUpstreams leavingUpstreams = new LeavingUpstreams();
   private final CrashEvidenceCoordinator evidenceCoordinator;
+  private final PromptPartEvidence promptPartEvidence = new PromptPartEvidence();
+  private final PromptPartQuarantine promptPartQuarantine;
   private final RunPermissionClient permissionClient;
   private final AdmissionController admissionController;
   private final RequestCoordinator requestCoordinator;
@@ -67,13 +72,21 @@
     this.commands = new CommandCollector(self);
     var environment = new CellAdmission.Environment(commands, random, evidence, settings);
     this.evidenceCoordinator =
-        new CrashEvidenceCoordinator(commands, evidence, topology, incarnation);
+        new CrashEvidenceCoordinator(commands, evidence, promptPartEvidence, topology, incarnation);
+    this.promptPartQuarantine =
+        new PromptPartQuarantine(commands, evidenceCoordinator, promptPartEvidence);
     this.admissionController =
         new AdmissionController(environment, evidenceCoordinator, leavingUpstreams, topology);
     this.permissionClient = new RunPermissionClient(commands, evidenceCoordinator);
     this.requestCoordinator =
         new RequestCoordinator(
-            environment, evidenceCoordinator, permissionClient, leavingUpstreams, region, topology);
+            environment,
+            evidenceCoordinator,
+            promptPartQuarantine,
+            permissionClient,
+            leavingUpstreams,
+            region,
+            topology);
     this.orphanSweeper = new OrphanedAttemptSweeper(commands, topology);
   }
 
@@ -204,6 +217,8 @@
       case AdmissionMessage m -> admissionController.handle(from, m);
       case RunPermission m -> permissionClient.permissionReceived(m);
       case LeavingNotice m -> leavingUpstreams.recordRemoteSignal(m.upstream(), commands.now());
+      case PromptCrashReport m -> promptPartQuarantine.handle(m);
+      case PromptPartsCleared m -> promptPartQuarantine.handle(m);
       case EvidenceMessage m -> evidenceCoordinator.handle(from, m);
       default -> {
         // Other parts of the node handle the other messages.
@@ -244,6 +259,7 @@
             .listActive(commands.now())
             .forEach(u -> commands.send(m.host(), new LeavingNotice(u)));
         evidenceCoordinator.sendRecentReports(m.host());
+        promptPartQuarantine.sendCrashes(m.host());
       }
     }
   }
@@ -284,6 +300,7 @@
     leavingUpstreams.removeExpired(topology, commands.now());
     admissionController.tickAll();
     evidenceCoordinator.tick();
+    promptPartQuarantine.tick();
     orphanSweeper.tick();
   }
 
--- a/core/src/main/java/org/mustardlatch/core/routing/RequestCoordinator.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/RequestCoordinator.java
@@ -1,7 +1,6 @@
 package org.mustardlatch.core.routing;
 
 import java.time.Duration;
-import java.util.List;
 import org.jspecify.annotations.Nullable;
 import org.mustardlatch.core.balancing.RetryBudget;
 import org.mustardlatch.core.error.ErrorCode;
@@ -18,8 +17,6 @@
 import org.mustardlatch.core.peer.AdmissionMessage.ReserveQueued;
 import org.mustardlatch.core.peer.AdmissionMessage.ReserveRefused;
 import org.mustardlatch.core.peer.AdmissionMessage.Stage;
-import org.mustardlatch.core.quarantine.CrashEvidence;
-import org.mustardlatch.core.quarantine.CrashEvidence.SuspicionLevel;
 import org.mustardlatch.core.routing.RequestTable.LiveAttempt;
 
 /**
@@ -46,8 +43,7 @@
 
   private final CommandCollector commands;
   private final NodeSettings settings;
-  private final CrashEvidence evidence;
-  private final CrashEvidenceCoordinator evidenceCoordinator;
+  private final RunOutcomes runOutcomes;
   private final RunPermissionClient permissionClient;
   private final LeavingUpstreams leavingUpstreams;
   private final RegionId region;
@@ -67,14 +63,14 @@
   RequestCoordinator(
       CellAdmission.Environment env,
       CrashEvidenceCoordinator evidenceCoordinator,
+      PromptPartQuarantine promptParts,
       RunPermissionClient permissionClient,
       LeavingUpstreams leavingUpstreams,
       RegionId region,
       Topology topology) {
     this.commands = env.commands();
     this.settings = env.settings();
-    this.evidence = env.evidence();
-    this.evidenceCoordinator = evidenceCoordinator;
+    this.runOutcomes = new RunOutcomes(env, evidenceCoordinator, promptParts);
     this.permissionClient = permissionClient;
     this.leavingUpstreams = leavingUpstreams;
     this.region = region;
@@ -86,7 +82,14 @@
     this.driver = new AttemptDriver(commands, region, topology);
     this.starter =
         new AttemptStarter(
-            env, permissionClient, cellChooser, crossRegionPolicy, driver, region, this);
+            env,
+            promptParts,
+            permissionClient,
+            cellChooser,
+            crossRegionPolicy,
+            driver,
+            region,
+            this);
   }
 
   int requestCount() {
@@ -189,6 +192,10 @@
       driver.repeatReservationRequest(q, a);
       return;
     }
+    if (starter.refuseIfPartQuarantined(q)) {
+      driver.declineGrant(from, grant);
+      return;
+    }
     String detail = "cell=" + a.cell.name() + " prefill=" + grant.prefill();
     commands.explain(q.request.id(), "reserved", detail + " decode=" + grant.decode());
     q.refusedCells.clear();
@@ -260,7 +267,8 @@
 
   void engineReserved(AttemptId id) {
     if (requests.find(id) instanceof LiveAttempt(EntryRequest q, Attempt a)
-        && a.state == Attempt.State.RESERVING) {
+        && a.state == Attempt.State.RESERVING
+        && !starter.refuseIfPartQuarantined(q)) {
       driver.startPrefill(a);
       updateTimer(q);
     }
@@ -279,6 +287,10 @@
       commands.emit(new RoutingCommand.ReleaseKv(handle));
       return;
     }
+    if (starter.refuseIfPartQuarantined(q)) {
+      commands.emit(new RoutingCommand.ReleaseKv(handle));
+      return;
+    }
     cancelOtherAttempt(q, a);
     if (commands.now() > deadlines.firstTokenCutoffNanos(q, a)) {
       commands.emit(new RoutingCommand.ReleaseKv(handle));
@@ -350,11 +362,7 @@
     String detail =
         "attempt " + a.id.number() + " on " + a.decodeEngine + ", " + q.tokensSent + " tokens";
     commands.explain(q.request.id(), "completed", detail);
-    if (q.ranAsSuspect
-        || evidence.suspicionLevel(q.request.fingerprint(), commands.now())
-            == SuspicionLevel.SUSPECT) {
-      evidenceCoordinator.clearSuspect(q.request.fingerprint());
-    }
+    runOutcomes.completed(q);
     commands.emit(new RoutingCommand.Complete(q.request.id()));
     closeRequest(q, Outcome.FINISHED);
   }
@@ -397,7 +405,11 @@
       }
       driver.releaseReservation(a, FailureRules.reservationOutcome(failure));
     }
-    reportCrash(q, a, upstream, failure);
+    if (failure == Failure.CRASHED) {
+      boolean admittingNodeLive =
+          a.admittingNode != null && topology.member(a.admittingNode) != null;
+      runOutcomes.crashed(q, a, upstream, admittingNodeLive);
+    }
     if (a == q.hedge) {
       q.hedge = null;
       return;
@@ -432,19 +444,6 @@
     }
   }
 
-  /** Reports a crash if the admitting node, which reports it otherwise, is not live. */
-  private void reportCrash(
-      EntryRequest q, Attempt a, @Nullable UpstreamId upstream, Failure failure) {
-    if (failure != Failure.CRASHED) {
-      return;
-    }
-    q.suspectRunPermitted = false;
-    boolean admittingNodeLive = a.admittingNode != null && topology.member(a.admittingNode) != null;
-    if (upstream != null && !admittingNodeLive) {
-      evidenceCoordinator.engineCrashed(upstream, List.of(q.request.fingerprint()));
-    }
-  }
-
   /** Starts a new attempt if the deadlines and the retry budget permit, or refuses the request. */
   private void retry(EntryRequest q, Failure failure) {
     long now = commands.now();
@@ -684,6 +683,9 @@
     q.hedge = null;
     requests.remove(q.request.id());
     permissionClient.cancel(q.request.id());
+    if (q.suspectPart != null) {
+      permissionClient.release(q.request.id(), q.suspectPart, "");
+    }
     commands.emit(new RoutingCommand.CancelTimer(new TimerKey(TIMER_KIND, q.request.id().value())));
   }
 }
--- a/core/src/test/java/org/mustardlatch/core/routing/NodeRouterTest.java
+++ b/core/src/test/java/org/mustardlatch/core/routing/NodeRouterTest.java
@@ -466,7 +466,8 @@
         r.finalDeadlineNanos(),
         false,
         1,
-        r.maxOutputTokens());
+        r.maxOutputTokens(),
+        List.of());
   }
 
   @Test
--- a/daemon/src/main/java/org/mustardlatch/daemon/caller/ContentHashes.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/caller/ContentHashes.java
@@ -5,6 +5,7 @@
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import org.mustardlatch.core.model.Fingerprint;
 import org.mustardlatch.daemon.routing.GenerationInput;
@@ -37,6 +38,36 @@
         Hashing.sha256().hashBytes(StrictJson.toCanonicalBytes(content)).toString());
   }
 
+  /**
+   * Returns digests of the parts of the prompt that other requests may share, each with the model:
+   * the messages of a chat, or the full blocks of a text, without the last one.
+   */
+  static List<Fingerprint> sharedPromptParts(GenerationInput input) {
+    List<byte[]> parts = new ArrayList<>();
+    if (input.chat()) {
+      input.body().path("messages").forEach(m -> parts.add(StrictJson.toCanonicalBytes(m)));
+    } else {
+      byte[] bytes = input.body().path("prompt").toString().getBytes(StandardCharsets.UTF_8);
+      for (int offset = 0; offset < bytes.length; offset += PREFIX_BLOCK_BYTES) {
+        parts.add(
+            Arrays.copyOfRange(bytes, offset, Math.min(bytes.length, offset + PREFIX_BLOCK_BYTES)));
+      }
+    }
+    return parts.subList(0, Math.max(0, parts.size() - 1)).stream()
+        .map(part -> partDigest(input, part))
+        .toList();
+  }
+
+  private static Fingerprint partDigest(GenerationInput input, byte[] part) {
+    return new Fingerprint(
+        Hashing.sha256()
+            .newHasher()
+            .putString(input.model().value() + "\n", StandardCharsets.UTF_8)
+            .putBytes(part)
+            .hash()
+            .toString());
+  }
+
   /**
    * Returns one hash per full block from the start of the prompt. Each hash covers the model and
    * all blocks up to and including its own. A partial last block has no hash.
--- a/daemon/src/main/java/org/mustardlatch/daemon/caller/GenerationHandler.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/caller/GenerationHandler.java
@@ -92,15 +92,16 @@
             .multipliedBy(FINAL_DEADLINE_FACTOR)
             .plus(FINAL_DEADLINE_MARGIN);
     return new GenerationRequest(
-        id,
-        workspace.id(),
-        input.model(),
-        input.promptTokens(),
-        input.maxTokens(),
-        bodyBytes,
-        ContentHashes.prefixBlockHashes(input),
-        ContentHashes.fingerprint(input),
-        nowNanos + model.firstTokenTarget().toNanos(),
-        nowNanos + timeToFinalDeadline.toNanos());
+            id,
+            workspace.id(),
+            input.model(),
+            input.promptTokens(),
+            input.maxTokens(),
+            bodyBytes,
+            ContentHashes.prefixBlockHashes(input),
+            ContentHashes.fingerprint(input),
+            nowNanos + model.firstTokenTarget().toNanos(),
+            nowNanos + timeToFinalDeadline.toNanos())
+        .withPromptParts(ContentHashes.sharedPromptParts(input));
   }
 }
--- a/gateway/src/main/java/org/mustardlatch/gateway/FleetManifest.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/FleetManifest.java
@@ -1,6 +1,8 @@
 package org.mustardlatch.gateway;
 
+import com.google.common.hash.Hashing;
 import java.net.URI;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -18,6 +20,7 @@
 import org.mustardlatch.core.manifest.Upstream;
 import org.mustardlatch.core.manifest.UpstreamRole;
 import org.mustardlatch.core.manifest.Workspace;
+import org.mustardlatch.core.model.Fingerprint;
 import org.mustardlatch.core.model.ModelId;
 import org.mustardlatch.core.model.RegionId;
 import org.mustardlatch.core.model.UpstreamId;
@@ -140,6 +143,25 @@
     return service.toLowerCase(Locale.ROOT);
   }
 
+  /**
+   * Returns digests of the parts of a prompt that other requests to the service may share: all but
+   * the last one.
+   */
+  static List<Fingerprint> sharedParts(String service, List<RequestMetadata.PromptPart> parts) {
+    List<Fingerprint> result = new ArrayList<>();
+    for (RequestMetadata.PromptPart p : parts.subList(0, Math.max(0, parts.size() - 1))) {
+      result.add(
+          new Fingerprint(
+              Hashing.sha256()
+                  .newHasher()
+                  .putString(service + "\n", StandardCharsets.UTF_8)
+                  .putLong(p.contentDigest())
+                  .hash()
+                  .toString()));
+    }
+    return result;
+  }
+
   /** Returns hashes of the prompt's blocks; equal parts of prompts have equal hashes. */
   static List<Long> prefixBlocks(List<RequestMetadata.PromptPart> parts) {
     List<Long> result = new ArrayList<>();
--- a/gateway/src/main/java/org/mustardlatch/gateway/GenerationRequestHandler.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/GenerationRequestHandler.java
@@ -3,11 +3,13 @@
 import io.netty.channel.EventLoop;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import org.mustardlatch.core.model.AttemptId;
+import org.mustardlatch.core.model.Fingerprint;
 import org.mustardlatch.core.model.ModelId;
 import org.mustardlatch.core.model.RequestId;
 import org.mustardlatch.core.model.WorkspaceId;
@@ -144,6 +146,8 @@
         late
             ? timers.nanos() + (long) (LATE_REQUEST_WAIT_FACTOR * target)
             : targetTime + (long) (PREDICTION_SLACK * target);
+    List<Fingerprint> parts =
+        FleetManifest.sharedParts(exchange.service().name(), metadata.promptParts());
     GenerationRequest request =
         new GenerationRequest(
             new RequestId(exchange.localId()),
@@ -158,7 +162,8 @@
             exchange.deadlineNanos(),
             exchange.route().repeatable(),
             exchange.route().maxAttempts(),
-            plannedOutputTokens(metadata));
+            plannedOutputTokens(metadata),
+            parts);
     EventLog.log(
         LogEvent.GENERATION_ARRIVED,
         exchange.callerRequestId(),
@@ -169,18 +174,18 @@
         metadata.lengthHint(),
         late,
         exchange.earlierWaitNanos() / 1_000_000,
-        describeParts(metadata));
+        describe(parts));
     GenerationStream s = new GenerationStream(exchange);
     streams.put(request.id(), s);
     streamsByCaller.put(exchange.caller(), s);
     runner.handle(new RoutingEvent.RequestArrived(request));
   }
 
-  /** Returns the digests of the first parts of the prompt, for the log. */
-  private static String describeParts(RequestMetadata metadata) {
-    return metadata.promptParts().stream()
+  /** Returns the names of the first parts of a prompt for the log, as decisions about them have. */
+  private static String describe(List<Fingerprint> parts) {
+    return parts.stream()
         .limit(MAX_LOGGED_PARTS)
-        .map(p -> Long.toHexString(p.contentDigest()))
+        .map(p -> p.value().substring(0, RoutedExchange.CONTENT_ID_DIGITS))
         .collect(Collectors.joining(","));
   }
 
--- a/gateway/src/main/java/org/mustardlatch/gateway/RoutedExchange.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/RoutedExchange.java
@@ -35,7 +35,7 @@
   private static final int SERVICE_UNAVAILABLE = 503;
   private static final Duration QUARANTINE_RETRY_AFTER =
       Duration.ofNanos(CrashEvidence.LIFETIME_NANOS);
-  private static final int CONTENT_ID_DIGITS = 16;
+  static final int CONTENT_ID_DIGITS = 16;
 
   private final String localId;
   private final CallerExchange caller;
--- a/wire/src/main/java/org/mustardlatch/wire/EvidenceCodec.java
+++ b/wire/src/main/java/org/mustardlatch/wire/EvidenceCodec.java
@@ -35,6 +35,15 @@
               .setVerdict(verdict(m.verdict()));
       case EvidenceMessage.Cleared m ->
           out.getClearedBuilder().setFingerprint(fingerprintToBytes(m.fingerprint()));
+      case EvidenceMessage.PromptCrashReport m ->
+          out.getPromptCrashReportBuilder()
+              .setUpstream(m.upstream().value())
+              .setAgeNanos(m.ageNanos())
+              .addAllRuns(m.runs().stream().map(EvidenceCodec::promptPartRun).toList());
+      case EvidenceMessage.PromptPartsCleared m ->
+          out.getPromptPartsClearedBuilder()
+              .setId(m.id())
+              .addAllParts(m.parts().stream().map(EvidenceCodec::fingerprintToBytes).toList());
       case EvidenceMessage.LeavingNotice m ->
           out.getLeavingNoticeBuilder().setUpstream(m.upstream().value());
     }
@@ -66,12 +75,36 @@
       case CLEARED ->
           new EvidenceMessage.Cleared(
               PeerCodec.fingerprintFromBytes(e.getCleared().getFingerprint()));
+      case PROMPT_CRASH_REPORT -> {
+        PeerProto.PromptCrashReport m = e.getPromptCrashReport();
+        yield new EvidenceMessage.PromptCrashReport(
+            new UpstreamId(m.getUpstream()),
+            m.getAgeNanos(),
+            m.getRunsList().stream().map(EvidenceCodec::promptPartRun).toList());
+      }
+      case PROMPT_PARTS_CLEARED -> {
+        PeerProto.PromptPartsCleared m = e.getPromptPartsCleared();
+        yield new EvidenceMessage.PromptPartsCleared(
+            m.getId(), m.getPartsList().stream().map(PeerCodec::fingerprintFromBytes).toList());
+      }
       case LEAVING_NOTICE ->
           new EvidenceMessage.LeavingNotice(new UpstreamId(e.getLeavingNotice().getUpstream()));
       default -> throw PeerCodec.unexpectedBody(e);
     };
   }
 
+  private static PeerProto.PromptPartRun promptPartRun(EvidenceMessage.PromptPartRun run) {
+    return PeerProto.PromptPartRun.newBuilder()
+        .setPart(fingerprintToBytes(run.part()))
+        .setLeadNanos(run.leadNanos())
+        .build();
+  }
+
+  private static EvidenceMessage.PromptPartRun promptPartRun(PeerProto.PromptPartRun run) {
+    return new EvidenceMessage.PromptPartRun(
+        PeerCodec.fingerprintFromBytes(run.getPart()), run.getLeadNanos());
+  }
+
   private static ByteString fingerprintToBytes(Fingerprint fingerprint) {
     return PeerCodec.digestToBytes(fingerprint.value());
   }
--- a/wire/src/main/java/org/mustardlatch/wire/PeerCodec.java
+++ b/wire/src/main/java/org/mustardlatch/wire/PeerCodec.java
@@ -50,7 +50,14 @@
           RESERVE_WITHDRAW ->
           AdmissionCodec.decode(envelope);
       case BUDGET_LEASE_REQUEST, BUDGET_LEASE -> BudgetCodec.decode(envelope);
-      case CRASH_REPORT, RUN_REQUEST, RUN_ENDED, RUN_PERMISSION, CLEARED, LEAVING_NOTICE ->
+      case CRASH_REPORT,
+          RUN_REQUEST,
+          RUN_ENDED,
+          RUN_PERMISSION,
+          CLEARED,
+          PROMPT_CRASH_REPORT,
+          PROMPT_PARTS_CLEARED,
+          LEAVING_NOTICE ->
           EvidenceCodec.decode(envelope);
       case LEDGER_START, LEDGER_STARTED, LEDGER_FINISH -> LedgerCodec.decode(envelope);
       case PING, PONG, BODY_NOT_SET ->
--- a/wire/src/main/java/org/mustardlatch/wire/PeerNode.java
+++ b/wire/src/main/java/org/mustardlatch/wire/PeerNode.java
@@ -295,6 +295,8 @@
       case EvidenceMessage.RunPermission m -> listener.messageReceived(from, senderIncarnation, m);
       case EvidenceMessage.CrashReport m -> forwardAndDeliver(from, senderIncarnation, m);
       case EvidenceMessage.Cleared m -> forwardAndDeliver(from, senderIncarnation, m);
+      case EvidenceMessage.PromptCrashReport m -> forwardAndDeliver(from, senderIncarnation, m);
+      case EvidenceMessage.PromptPartsCleared m -> forwardAndDeliver(from, senderIncarnation, m);
       case EvidenceMessage.LeavingNotice m -> forwardAndDeliver(from, senderIncarnation, m);
     }
   }
--- a/wire/src/test/java/org/mustardlatch/wire/PeerCodecTest.java
+++ b/wire/src/test/java/org/mustardlatch/wire/PeerCodecTest.java
@@ -71,6 +71,9 @@
                 new EvidenceMessage.RunRequest(FINGERPRINT, "r-1.2", "orders"),
                 new EvidenceMessage.RunEnded(FINGERPRINT, "r-1.2"),
                 new EvidenceMessage.Cleared(FINGERPRINT),
+                new EvidenceMessage.PromptCrashReport(
+                    UPSTREAM, 5, List.of(new EvidenceMessage.PromptPartRun(FINGERPRINT, 7))),
+                new EvidenceMessage.PromptPartsCleared("h/1", List.of(FINGERPRINT)),
                 new EvidenceMessage.LeavingNotice(UPSTREAM),
                 new LedgerMessage.LedgerStart(255, "k", "n", "d"),
                 new LedgerMessage.LedgerStarted("k", "n", "FINISHED", "n2", 200, "yes"),
