Let a repeated crash report not end the test run of a suspect part

Reports of a crash are sent four times, a second apart. Each of them ended the permission for the run of a suspect prompt part, so several requests that may crash engines could run at once. Only a report that tells something new ends it now.

--- a/core/src/main/java/org/mustardlatch/core/quarantine/PromptPartEvidence.java
+++ b/core/src/main/java/org/mustardlatch/core/quarantine/PromptPartEvidence.java
@@ -94,8 +94,9 @@
    *
    * @param crash the crash; times before the last clearing of a part don't count
    * @param nowNanos monotonic time of this node
+   * @return whether the report told anything new
    */
-  public void recordCrash(Crash crash, long nowNanos) {
+  public boolean recordCrash(Crash crash, long nowNanos) {
     expire(nowNanos);
     Crash recorded = find(crash);
     boolean changed = false;
@@ -109,6 +110,7 @@
     if (changed) {
       reassess(nowNanos);
     }
+    return changed;
   }
 
   private Crash find(Crash crash) {
--- a/core/src/main/java/org/mustardlatch/core/routing/PromptPartQuarantine.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/PromptPartQuarantine.java
@@ -80,9 +80,10 @@
 
   private void recordCrash(Crash crash) {
     Set<Fingerprint> before = evidence.quarantined();
-    evidence.recordCrash(crash, commands.now());
-    crash.sentNanos().keySet().forEach(coordinator::suspectRunEnded);
-    explainChanges(before);
+    if (evidence.recordCrash(crash, commands.now())) {
+      crash.sentNanos().keySet().forEach(coordinator::suspectRunEnded);
+      explainChanges(before);
+    }
   }
 
   private void explainChanges(Set<Fingerprint> before) {
--- a/core/src/test/java/org/mustardlatch/core/quarantine/PromptPartEvidenceTest.java
+++ b/core/src/test/java/org/mustardlatch/core/quarantine/PromptPartEvidenceTest.java
@@ -37,7 +37,7 @@
     crashCount++;
     Map<Fingerprint, Long> sent = new HashMap<>();
     List.of(parts).forEach(p -> sent.put(p, sentNanos));
-    evidence.recordCrash(new Crash(new UpstreamId("e" + crashCount), now, sent), now);
+    var unused = evidence.recordCrash(new Crash(new UpstreamId("e" + crashCount), now, sent), now);
   }
 
   private void complete(Fingerprint... parts) {
