Run suspect prompt parts one at a time in the fleet

Each part had a permission of its own to run as a test. So both kinds ran at the same time, on the few engines that were left, and each further crash had both parts again.

All suspect parts are now in one group of permissions, as the suspects of an application service are: one request with a suspect part runs at a time in the fleet.

PromptPartQuarantineTest.requestsWithPartsThatCannotBeToldApartRunOneAtATime failed before and passes.

Ruled out: evidence that is lost or late (all three nodes have each crash), crashes that aren't noticed, requests that were sent before the evidence (the late ones arrived seconds after it).

--- a/core/src/main/java/org/mustardlatch/core/routing/AttemptStarter.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/AttemptStarter.java
@@ -103,9 +103,9 @@
       startLocally(q);
     } else if (promptParts.suspicion(q.request.promptParts()) instanceof Suspect(Fingerprint p)) {
       q.suspectPart = p;
-      requestPermission(q, p);
+      requestPermission(q, p, PromptPartQuarantine.RUN_GROUP);
     } else if (suspicionLevel == SuspicionLevel.SUSPECT) {
-      requestPermission(q, q.request.fingerprint());
+      requestPermission(q, q.request.fingerprint(), "");
     } else {
       startLocally(q);
     }
@@ -208,11 +208,11 @@
     }
   }
 
-  private void requestPermission(EntryRequest q, Fingerprint suspect) {
+  private void requestPermission(EntryRequest q, Fingerprint suspect, String group) {
     q.awaitsPermission = true;
     long deadline =
         q.tokensSent == 0 ? q.request.firstTokenDeadlineNanos() : q.request.finalDeadlineNanos();
-    permissionClient.request(q.request.id(), suspect, "", deadline, v -> handleVerdict(q, v));
+    permissionClient.request(q.request.id(), suspect, group, deadline, v -> handleVerdict(q, v));
   }
 
   private void handleVerdict(EntryRequest q, Verdict verdict) {
--- a/core/src/main/java/org/mustardlatch/core/routing/PromptPartQuarantine.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/PromptPartQuarantine.java
@@ -23,6 +23,12 @@
  * so that all of them quarantine a part that crashes engines.
  */
 final class PromptPartQuarantine {
+  /**
+   * Group of the permissions to run a suspect part. Two that run on one engine at a time would both
+   * be on its crash, which would not tell them apart.
+   */
+  static final String RUN_GROUP = "prompt-parts";
+
   // One message to a node may be lost, for example with a connection that has gone silent.
   private static final int MAX_BROADCASTS = 4;
   private static final long BROADCAST_INTERVAL_NANOS = 1_000_000_000L;
--- a/core/src/test/java/org/mustardlatch/core/routing/PromptPartQuarantineTest.java
+++ b/core/src/test/java/org/mustardlatch/core/routing/PromptPartQuarantineTest.java
@@ -76,6 +76,25 @@
     assertThat(requestRun("b")).isEqualTo(Verdict.WAIT);
   }
 
+  /** Has a request arrive and returns whether it runs at once as a test of its suspect part. */
+  private boolean arrivesAndRuns(String id, Fingerprint part) {
+    commands.clear();
+    handle(
+        new RoutingEvent.RequestArrived(
+            Fixtures.request(id, 100, now).withPromptParts(List.of(part))));
+    return commands.stream()
+        .filter(RoutingCommand.Explain.class::isInstance)
+        .map(c -> ((RoutingCommand.Explain) c).rule())
+        .anyMatch("suspect_permitted"::equals);
+  }
+
+  @Test
+  void requestsWithPartsThatCannotBeToldApartRunOneAtATime() {
+    handle(new RoutingEvent.MembersChanged(List.of(Fixtures.member(0, OSLO))));
+    assertThat(arrivesAndRuns("a", FIRST)).isTrue();
+    assertThat(arrivesAndRuns("b", SECOND_PART)).isFalse();
+  }
+
   @Test
   void repeatedReportOfACrashDoesNotEndTheRunOfASuspect() {
     assertThat(requestRun("a")).isEqualTo(Verdict.RUN);
