Decline grants of engines that are leaving by the manifest of the entry node

The admitting node, which the store turned away, granted the engine by an old list. The entry node knew better from its own watch, but compared the grant only with the notices of other nodes.

It now compares the grant with its own manifest as well, declines it and asks again without that engine, as for notices. Both paths use this code.

--- a/core/src/main/java/org/mustardlatch/core/routing/RequestCoordinator.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/RequestCoordinator.java
@@ -183,9 +183,8 @@
       return;
     }
     driver.recordResponse(a);
-    boolean prefillLeaving =
-        a.inheritedKv == null && leavingUpstreams.contains(grant.prefill(), commands.now());
-    if (prefillLeaving || leavingUpstreams.contains(grant.decode(), commands.now())) {
+    boolean prefillLeaving = a.inheritedKv == null && isLeaving(grant.prefill());
+    if (prefillLeaving || isLeaving(grant.decode())) {
       q.excluded.add(prefillLeaving ? grant.prefill() : grant.decode());
       commands.explain(q.request.id(), "leaving_upstream", "declined a grant on " + grant.decode());
       driver.declineGrant(from, grant);
@@ -205,6 +204,11 @@
     updateTimer(q);
   }
 
+  /** Returns whether an engine is leaving, which the admitting node may not know yet. */
+  private boolean isLeaving(UpstreamId engine) {
+    return topology.isLeaving(engine) || leavingUpstreams.contains(engine, commands.now());
+  }
+
   void reservationQueued(HostId from, ReserveQueued response) {
     cellChooser.recordSummary(response.summary(), commands.now());
     if (requests.find(response.attempt()) instanceof LiveAttempt(EntryRequest q, Attempt a)
--- a/core/src/main/java/org/mustardlatch/core/routing/Topology.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/Topology.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.mustardlatch.core.manifest.Manifest;
 import org.mustardlatch.core.manifest.Model;
@@ -26,6 +28,7 @@
   private final Map<ModelInRegion, List<Cell>> cellsByModelInRegion = new HashMap<>();
   private final Map<String, Cell> cells = new HashMap<>();
   private final Map<UpstreamId, Cell> cellByEngine = new HashMap<>();
+  private final Set<UpstreamId> leaving = new HashSet<>();
   private final List<RegionId> regions = new ArrayList<>();
   private final Map<HostId, Member> members = new HashMap<>();
 
@@ -39,6 +42,9 @@
       manifest.models().forEach(m -> models.put(m.id(), m));
       Map<ModelInRegion, List<Upstream>> engines = new HashMap<>();
       for (Upstream u : manifest.upstreams()) {
+        if (u.leaving()) {
+          leaving.add(u.id());
+        }
         RegionId region = manifest.regionOf(u.zone()).orElse(null);
         if (u.model() != null && region != null && models.containsKey(u.model())) {
           engines
@@ -102,6 +108,11 @@
     return cellByEngine.get(engine);
   }
 
+  /** Returns whether an upstream is leaving (draining) by the manifest of this node. */
+  boolean isLeaving(UpstreamId upstream) {
+    return leaving.contains(upstream);
+  }
+
   /** Returns the node if it is live, or null. */
   @Nullable Member member(HostId host) {
     return members.get(host);
