--- a/core/src/main/java/org/mustardlatch/core/routing/RequestCoordinator.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/RequestCoordinator.java
@@ -688,8 +688,7 @@
     requests.remove(q.request.id());
     permissionClient.cancel(q.request.id());
     if (q.suspectPart != null) {
-      permissionClient.release(
-          q.request.id(), q.suspectPart, PromptPartQuarantine.RUN_GROUP);
+      permissionClient.release(q.request.id(), q.suspectPart, PromptPartQuarantine.RUN_GROUP);
     }
     commands.emit(new RoutingCommand.CancelTimer(new TimerKey(TIMER_KIND, q.request.id().value())));
   }
--- a/daemon/src/test/java/org/mustardlatch/daemon/UnframedEngineResponseTest.java
+++ b/daemon/src/test/java/org/mustardlatch/daemon/UnframedEngineResponseTest.java
@@ -113,8 +113,7 @@
             + "\r\nContent-Type: application/json\r\nContent-Length: "
             + body.length();
     StringBuilder response = new StringBuilder();
-    try (Socket s =
-        new Socket(InetAddress.getLoopbackAddress(), fleet.daemon().callerPort())) {
+    try (Socket s = new Socket(InetAddress.getLoopbackAddress(), fleet.daemon().callerPort())) {
       s.setSoTimeout(QUIET_MILLIS);
       s.getOutputStream().write((head + "\r\n\r\n" + body).getBytes(UTF_8));
       for (int b = s.getInputStream().read(); b >= 0; b = s.getInputStream().read()) {
