Follow a store that came back from an earlier copy

Revisions go back and are given out again; Store-Era, in all its answers, rises by one.

Callers would have seen a node that stays behind: it goes on watching from a revision that stands for another change now, and misses all changes up to it.

A change of the header's number makes the watcher list again, whatever the response holds. An entry that the copy lacks has the two seconds to be written again that it has after an outage. A process that is known to leave, or whose entry was removed in the 10 s before, is taken as leaving if the copy still has it as ready: a copy knows less than the node. A live process whose entry lapsed in just these seconds and came back with the copy stays out until it writes a changed entry.

The platform path writes nothing to the store, so there are no leases or objects of its own to write again. The own interface's object service has no such header; nothing was changed there.

--- a/gateway/src/main/java/org/mustardlatch/gateway/FleetState.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/FleetState.java
@@ -167,6 +167,11 @@
       FleetState.this.closeStalePoolsAndNotify();
     }
 
+    @Override
+    public void storeRestored() {
+      EventLog.log(LogEvent.STORE_RESTORED, "configuration");
+    }
+
     @Override
     public void storeReachable(boolean afterOutage) {
       EventLog.log(LogEvent.STORE_REACHABLE, "configuration");
@@ -209,6 +214,12 @@
       FleetState.this.closeStalePoolsAndNotify();
     }
 
+    @Override
+    public void storeRestored() {
+      table.storeRestored(timers.nanos());
+      EventLog.log(LogEvent.STORE_RESTORED, "upstreams");
+    }
+
     @Override
     public void storeReachable(boolean afterOutage) {
       table.storeBecameReachable(timers.nanos(), afterOutage);
--- a/gateway/src/main/java/org/mustardlatch/gateway/config/Instance.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/config/Instance.java
@@ -24,6 +24,11 @@
     int slots,
     boolean leaving,
     @Nullable EngineStage stage) {
+  /** Returns the same upstream, leaving. */
+  public Instance asLeaving() {
+    return new Instance(id, startedMillis, service, address, zone, slots, true, stage);
+  }
+
   /** Returns whether both entries describe the same run of the same process. */
   public boolean isSameProcess(Instance other) {
     return id.equals(other.id)
--- a/gateway/src/main/java/org/mustardlatch/gateway/config/InstanceTable.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/config/InstanceTable.java
@@ -11,7 +11,8 @@
 
 /**
  * The registered upstreams as last read from the store. Entries that disappear because the store
- * was unreachable are kept until their owners have had time to register again.
+ * was unreachable, or restored from an earlier copy, are kept until their owners have had time to
+ * register again. What is known to leave, or was removed, does not come back with such a copy.
  *
  * <p>Not thread-safe; the gateway uses it on the event loop only.
  */
@@ -19,9 +20,16 @@
   /** Time within which live upstreams register again after the store has become reachable. */
   public static final long REREGISTRATION_NANOS = 2_000_000_000L;
 
+  /** Age up to which the removal of an entry may be missing in a copy of the store. */
+  static final long RECENT_REMOVAL_NANOS = 10_000_000_000L;
+
+  private record Removal(Instance instance, long nanos) {}
+
   private final Map<String, Instance> instances = new HashMap<>();
+  private final Map<String, Removal> recentRemovals = new HashMap<>();
   private final Map<String, Long> removalDeadlines = new HashMap<>();
   private boolean storeUnreachable = true;
+  private boolean nextListIsOfCopy;
   private long storeRecoveredNanos = Long.MIN_VALUE;
 
   /** Returns all upstreams, including those that are kept after an outage of the store. */
@@ -53,13 +61,31 @@
     storeUnreachable = false;
   }
 
+  /**
+   * Records that the store has been restored from an earlier copy, which the next list is from.
+   *
+   * @param now monotonic time in nanoseconds
+   */
+  public void storeRestored(long now) {
+    storeRecoveredNanos = now;
+    dropOldRemovals(now);
+    nextListIsOfCopy = true;
+  }
+
+  private void dropOldRemovals(long now) {
+    recentRemovals.values().removeIf(r -> now - r.nanos() >= RECENT_REMOVAL_NANOS);
+  }
+
   /** Puts the upstreams of a complete list, and removes all others as {@link #remove} does. */
   public void replace(List<Instance> listed, long now) {
     Set<String> seen = new HashSet<>();
     for (Instance i : listed) {
       seen.add(i.id());
-      put(i);
+      Removal removal = nextListIsOfCopy ? recentRemovals.get(i.id()) : null;
+      boolean removed = removal != null && removal.instance().isSameProcess(i);
+      put(removed ? i.asLeaving() : i);
     }
+    nextListIsOfCopy = false;
     for (String id : new ArrayList<>(instances.keySet())) {
       if (!seen.contains(id)) {
         remove(id, now);
@@ -67,10 +93,16 @@
     }
   }
 
-  /** Adds or replaces an upstream, and cancels its delayed removal. */
+  /**
+   * Adds or replaces an upstream, and cancels its delayed removal. A process that is leaving does
+   * not return: an entry that says otherwise is older.
+   */
   public void put(Instance instance) {
+    Instance known = instances.get(instance.id());
+    boolean leaving = known != null && known.leaving() && known.isSameProcess(instance);
     removalDeadlines.remove(instance.id());
-    instances.put(instance.id(), instance);
+    recentRemovals.remove(instance.id());
+    instances.put(instance.id(), leaving ? instance.asLeaving() : instance);
   }
 
   /** Removes an upstream; the removal is delayed if the store has just recovered from an outage. */
@@ -81,8 +113,16 @@
     if (storeRecoveredNanos != Long.MIN_VALUE && now - storeRecoveredNanos < REREGISTRATION_NANOS) {
       removalDeadlines.putIfAbsent(id, storeRecoveredNanos + REREGISTRATION_NANOS);
     } else {
-      instances.remove(id);
-      removalDeadlines.remove(id);
+      drop(id, now);
+    }
+  }
+
+  private void drop(String id, long now) {
+    Instance dropped = instances.remove(id);
+    removalDeadlines.remove(id);
+    dropOldRemovals(now);
+    if (dropped != null) {
+      recentRemovals.put(id, new Removal(dropped, now));
     }
   }
 
@@ -97,8 +137,7 @@
     boolean changed = false;
     for (var e : new ArrayList<>(removalDeadlines.entrySet())) {
       if (now >= e.getValue()) {
-        removalDeadlines.remove(e.getKey());
-        instances.remove(e.getKey());
+        drop(e.getKey(), now);
         changed = true;
       }
     }
--- a/gateway/src/main/java/org/mustardlatch/gateway/store/HttpStoreReader.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/store/HttpStoreReader.java
@@ -24,6 +24,7 @@
   private final TimerService timers;
   private final UpstreamPool pool;
   private final StoreCodec<T> codec;
+  private @Nullable Long restoreCount;
 
   /** Creates a reader; all readers of a node share the connections of one pool. */
   public HttpStoreReader(TimerService timers, UpstreamPool pool, StoreCodec<T> codec) {
@@ -75,7 +76,14 @@
 
     @Override
     protected void responseReceived(BufferedResponse response) {
-      finish(decoder.apply(response.status(), response.body()));
+      Long count = codec.readRestoreCount(response.head().headers());
+      Long known = restoreCount;
+      restoreCount = count == null ? known : count;
+      boolean restored = count != null && known != null && !count.equals(known);
+      finish(
+          restored
+              ? new StoreResponse.Restored<>()
+              : decoder.apply(response.status(), response.body()));
     }
 
     @Override
--- a/gateway/src/main/java/org/mustardlatch/gateway/store/StoreCodec.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/store/StoreCodec.java
@@ -1,5 +1,6 @@
 package org.mustardlatch.gateway.store;
 
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import java.time.Duration;
 import org.jspecify.annotations.Nullable;
@@ -15,6 +16,12 @@
   /** Returns the request that waits for changes after a revision, at most for the given time. */
   HttpRequest watchRequest(long revision, Duration wait);
 
+  /**
+   * Returns how often the store has been restored from an earlier copy, by the headers of any of
+   * its responses; null if not stated.
+   */
+  @Nullable Long readRestoreCount(HttpHeaders headers);
+
   /** Decodes the response to a list; an invalid one becomes {@link StoreResponse.Unavailable}. */
   StoreResponse<T> decodeList(int status, byte[] body);
 
--- a/gateway/src/main/java/org/mustardlatch/gateway/store/StoreListener.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/store/StoreListener.java
@@ -15,6 +15,12 @@
   /** Called for each change, in order. */
   void objectChanged(StoreResponse.Change<T> change);
 
+  /**
+   * Called when the store has been restored from an earlier copy, before its objects are listed.
+   * What was written since the copy was made is missing until its owners write it again.
+   */
+  void storeRestored();
+
   /**
    * Called when the store has become reachable, before the objects or changes that it returned.
    *
--- a/gateway/src/main/java/org/mustardlatch/gateway/store/StoreResponse.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/store/StoreResponse.java
@@ -30,6 +30,12 @@
   /** The store no longer has the history that a watch requested. */
   record HistoryExpired<T>() implements StoreResponse<T> {}
 
+  /**
+   * The store has been restored from an earlier copy since the last response. Its revisions are
+   * given out again, so that those of earlier responses say nothing any more.
+   */
+  record Restored<T>() implements StoreResponse<T> {}
+
   /** The store did not respond, refused the read, or sent an unreadable response. */
   record Unavailable<T>(String reason) implements StoreResponse<T> {}
 
--- a/gateway/src/main/java/org/mustardlatch/gateway/store/StoreWatcher.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/store/StoreWatcher.java
@@ -9,8 +9,8 @@
 
 /**
  * Follows the objects of one kind: lists them once and watches for changes from that revision.
- * After an error it resumes from the last revision; it lists again if the history has expired. Used
- * on the thread of the timer service.
+ * After an error it resumes from the last revision; it lists again if the history has expired or
+ * the store was restored from an earlier copy. Used on the thread of the timer service.
  */
 public final class StoreWatcher<T> {
   // Each call is billed, which favors a long wait. But a silently broken connection is only
@@ -102,6 +102,11 @@
         revision = null;
         list(null);
       }
+      case StoreResponse.Restored<T> restored -> {
+        listener.storeRestored();
+        revision = null;
+        list(null);
+      }
       case StoreResponse.Unavailable<T> u -> {
         if (consecutiveFailures == 0) {
           listener.storeUnreachable(u.reason());
--- a/gateway/src/test/java/org/mustardlatch/gateway/config/InstanceTableTest.java
+++ b/gateway/src/test/java/org/mustardlatch/gateway/config/InstanceTableTest.java
@@ -5,6 +5,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Objects;
 import org.junit.jupiter.api.Test;
 
 /** Guards against requests to removed upstreams, and against the loss of live ones in an outage. */
@@ -25,6 +26,10 @@
         null);
   }
 
+  private boolean isLeaving(String id) {
+    return Objects.requireNonNull(table.get(id)).leaving();
+  }
+
   @Test
   void removesAnEntryImmediatelyWithoutARecentOutage() {
     table.storeBecameReachable(0, false);
@@ -63,4 +68,43 @@
     assertThat(table.expire(13 * SECOND)).isFalse();
     assertThat(table.get("x")).isNotNull();
   }
+
+  @Test
+  void upstreamThatLeavesDoesNotReturnWithACopyOfTheStore() {
+    table.storeBecameReachable(0, false);
+    table.replace(List.of(instance("x").asLeaving(), instance("y")), 0);
+    table.remove("y", SECOND);
+
+    table.storeRestored(2 * SECOND);
+    table.replace(List.of(instance("x"), instance("y")), 2 * SECOND);
+
+    assertThat(isLeaving("x")).isTrue();
+    assertThat(isLeaving("y")).isTrue();
+  }
+
+  @Test
+  void upstreamThatIsMissingInACopyOfTheStoreHasTimeToRegisterAgain() {
+    table.storeBecameReachable(0, false);
+    table.replace(List.of(instance("x"), instance("y")), 0);
+    table.storeRestored(10 * SECOND);
+    table.replace(List.of(), 10 * SECOND);
+    table.put(instance("x"));
+
+    assertThat(table.get("y")).isNotNull();
+    assertThat(table.expire(12 * SECOND)).isTrue();
+    assertThat(isLeaving("x")).isFalse();
+    assertThat(table.get("y")).isNull();
+  }
+
+  @Test
+  void upstreamThatStartedAgainIsNotTakenForTheOneThatLeft() {
+    table.storeBecameReachable(0, false);
+    table.replace(List.of(instance("x").asLeaving()), 0);
+    Instance x = instance("x");
+    table.put(
+        new Instance(
+            x.id(), 2, x.service(), x.address(), x.zone(), x.slots(), x.leaving(), x.stage()));
+
+    assertThat(isLeaving("x")).isFalse();
+  }
 }
--- a/gateway/src/test/java/org/mustardlatch/gateway/store/StoreWatcherTest.java
+++ b/gateway/src/test/java/org/mustardlatch/gateway/store/StoreWatcherTest.java
@@ -50,6 +50,11 @@
             notifications.add(change.getClass().getSimpleName());
           }
 
+          @Override
+          public void storeRestored() {
+            notifications.add("restored");
+          }
+
           @Override
           public void storeReachable(boolean afterOutage) {
             notifications.add("reachable " + afterOutage);
@@ -103,6 +108,20 @@
     assertThat(readerCalls).containsExactly("list null", "watch 7", "list null").inOrder();
   }
 
+  @Test
+  void listsAgainWhenTheStoreWasRestoredFromACopy() {
+    pendingConsumer.accept(page(null, "a"));
+    pendingConsumer.accept(new StoreResponse.Restored<>());
+    pendingConsumer.accept(page(null, "b"));
+
+    assertThat(notifications)
+        .containsExactly("reachable false", "listed [a]", "restored", "listed [b]")
+        .inOrder();
+    assertThat(readerCalls)
+        .containsExactly("list null", "watch 7", "list null", "watch 7")
+        .inOrder();
+  }
+
   @Test
   void limitsTheWatchWaitToDetectASilentConnection() {
     pendingConsumer.accept(page(null, "a"));
