Take an upstream that says in its answers that it is leaving at its word

Nodes knew only the entry in the store, which comes later, or is not read while the store is away.

The head of each answer of an upstream is looked at in one place, whatever the call is for. Other nodes are not told: an id may be used again by the next process, and their own answers tell them.

--- a/gateway/src/main/java/org/mustardlatch/gateway/FleetState.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/FleetState.java
@@ -1,12 +1,14 @@
 package org.mustardlatch.gateway;
 
 import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpResponse;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BiConsumer;
 import org.jspecify.annotations.Nullable;
 import org.mustardlatch.core.time.TimerService;
 import org.mustardlatch.gateway.config.GatewayConfiguration;
@@ -37,6 +39,7 @@
   private final InstanceTable table = new InstanceTable();
   private final Map<String, PooledInstance> pools = new HashMap<>();
   private final List<Runnable> listeners = new ArrayList<>();
+  private BiConsumer<Instance, HttpResponse> responseObserver = (target, head) -> {};
   private @Nullable GatewayConfiguration configuration;
 
   private record PooledInstance(Instance instance, UpstreamPool pool) {}
@@ -52,6 +55,21 @@
     listeners.add(task);
   }
 
+  /** Sets the receiver of the head of each response of an upstream. */
+  void observeResponses(BiConsumer<Instance, HttpResponse> observer) {
+    responseObserver = observer;
+  }
+
+  /** Records that an upstream says that it is leaving, which its entry may not do yet or ever. */
+  void upstreamLeaving(Instance target) {
+    Instance known = table.get(target.id());
+    if (known != null && known.isSameProcess(target) && !known.leaving()) {
+      table.put(known.asLeaving());
+      EventLog.log(LogEvent.UPSTREAM_SAID_LEAVING, target.id());
+      closeStalePoolsAndNotify();
+    }
+  }
+
   /** Returns the active configuration, or null if none has been received yet. */
   public @Nullable GatewayConfiguration configuration() {
     return configuration;
@@ -95,7 +113,12 @@
     }
     var pool =
         new UpstreamPool(
-            loop, timers, target.address(), CONNECT_TIMEOUT, MAX_IDLE_FOR_NON_REPEATABLE);
+            loop,
+            timers,
+            target.address(),
+            CONNECT_TIMEOUT,
+            MAX_IDLE_FOR_NON_REPEATABLE,
+            head -> responseObserver.accept(target, head));
     pools.put(target.id(), new PooledInstance(target, pool));
     return pool;
   }
--- a/gateway/src/main/java/org/mustardlatch/gateway/Gateway.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/Gateway.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponse;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.HashMap;
@@ -15,6 +16,7 @@
 import org.mustardlatch.gateway.config.GatewayConfiguration;
 import org.mustardlatch.gateway.config.GatewayRoute;
 import org.mustardlatch.gateway.config.GatewayService;
+import org.mustardlatch.gateway.config.Instance;
 import org.mustardlatch.gateway.config.RequestKind;
 import org.mustardlatch.gateway.http.CallerExchange;
 import org.mustardlatch.gateway.http.CallerHandler;
@@ -72,6 +74,7 @@
     this.fleet = fleet;
     this.protocol = protocol;
     this.peers = peers;
+    fleet.observeResponses(this::upstreamResponded);
     this.random = random;
     this.requestNames = new RequestNames(settings.host(), incarnation);
     this.generationHandler =
@@ -120,6 +123,13 @@
     EventLog.log(LogEvent.GATEWAY_LISTENING, settings.callerAddress(), settings.readinessAddress());
   }
 
+  private void upstreamResponded(Instance target, HttpResponse head) {
+    if (protocol.readResponse(head).leaving()) {
+      // Listeners of the fleet must not run inside the connection's handler.
+      timers.schedule(Duration.ZERO, () -> fleet.upstreamLeaving(target));
+    }
+  }
+
   /** Returns the address for callers, with the actual port if port 0 was configured. */
   public InetSocketAddress callerAddress() {
     return callerServer.address();
--- a/gateway/src/main/java/org/mustardlatch/gateway/ResponseMetadata.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/ResponseMetadata.java
@@ -10,9 +10,11 @@
  * @param notExecuted whether the upstream states that it did not execute the request
  * @param hasUpstreamStamp whether the response carries the stamp that upstreams add to theirs
  * @param load the upstream's load; null if not stated
+ * @param leaving whether the upstream states that it is leaving
  */
 public record ResponseMetadata(
     @Nullable String requestId,
     boolean notExecuted,
     boolean hasUpstreamStamp,
-    @Nullable UpstreamLoad load) {}
+    @Nullable UpstreamLoad load,
+    boolean leaving) {}
--- a/gateway/src/main/java/org/mustardlatch/gateway/http/UpstreamConnection.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/http/UpstreamConnection.java
@@ -145,6 +145,7 @@
         || r.protocolVersion().equals(HttpVersion.HTTP_1_0)) {
       closeAfterResponse = true;
     }
+    pool.headReceived(r);
     c.listener().headReceived(r);
   }
 
--- a/gateway/src/main/java/org/mustardlatch/gateway/http/UpstreamPool.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/http/UpstreamPool.java
@@ -8,10 +8,12 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.function.Consumer;
 import org.mustardlatch.core.time.MonotonicClock;
 
 /**
@@ -24,6 +26,7 @@
   private final InetSocketAddress address;
   private final Duration connectTimeout;
   private final Duration maxIdleForNonRepeatable;
+  private final Consumer<HttpResponse> headObserver;
   private final Deque<UpstreamConnection> idleConnections = new ArrayDeque<>();
   private boolean closed;
 
@@ -33,18 +36,25 @@
    * @param connectTimeout maximum time to establish a connection
    * @param maxIdleForNonRepeatable maximum idle time of a kept-alive connection that may carry a
    *     request that must not be repeated
+   * @param headObserver is given the head of each response, before the listener of its call
    */
   public UpstreamPool(
       EventLoop loop,
       MonotonicClock clock,
       InetSocketAddress address,
       Duration connectTimeout,
-      Duration maxIdleForNonRepeatable) {
+      Duration maxIdleForNonRepeatable,
+      Consumer<HttpResponse> headObserver) {
     this.loop = loop;
     this.clock = clock;
     this.address = address;
     this.connectTimeout = connectTimeout;
     this.maxIdleForNonRepeatable = maxIdleForNonRepeatable;
+    this.headObserver = headObserver;
+  }
+
+  void headReceived(HttpResponse head) {
+    headObserver.accept(head);
   }
 
   long now() {
--- a/gateway/src/main/java/org/mustardlatch/gateway/node/GatewayNode.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/node/GatewayNode.java
@@ -52,7 +52,8 @@
         new Gateway(
             settings, loop, timers, fleet, components.protocol(), peers, incarnation, random);
     var pool =
-        new UpstreamPool(loop, timers, components.store(), STORE_CONNECT_TIMEOUT, Duration.ZERO);
+        new UpstreamPool(
+            loop, timers, components.store(), STORE_CONNECT_TIMEOUT, Duration.ZERO, head -> {});
     configurations =
         new StoreWatcher<>(
             timers,
--- a/gateway/src/test/java/org/mustardlatch/gateway/TestProtocol.java
+++ b/gateway/src/test/java/org/mustardlatch/gateway/TestProtocol.java
@@ -45,7 +45,8 @@
   @Override
   public ResponseMetadata readResponse(HttpResponse response) {
     HttpHeaders h = response.headers();
-    return new ResponseMetadata(h.get("Id"), h.contains("Not-Run"), h.contains("Mark"), null);
+    return new ResponseMetadata(
+        h.get("Id"), h.contains("Not-Run"), h.contains("Mark"), null, false);
   }
 
   @Override
