Send nothing to an upstream for the time that its refusal states

Nodes read only that the request had not run: an engine was left alone for 150 ms, and an application server was tried again until the retry budget was used up.

The node that was refused keeps the end of the pause. Application requests choose among the others; if none is left, the caller is refused at once. The router is told by a new event: the node neither grants the engine nor takes a grant of it (LeavingUpstreams, which decides this for leaving engines, is now UnavailableUpstreams). As before, one that admits for other nodes too doesn't grant it to them either; they may send by their own admission.

Not covered: a decode whose prefill was started before the pause is still sent. The own interface keeps its 150 ms.

--- a/core/src/main/java/org/mustardlatch/core/routing/AdmissionController.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/AdmissionController.java
@@ -32,18 +32,18 @@
   private final CellAdmission.Environment environment;
   private final CellAdmission.CrashListener crashListener;
   private final Map<String, CellAdmission> admissions = new HashMap<>();
-  private final LeavingUpstreams leavingUpstreams;
+  private final UnavailableUpstreams unavailableUpstreams;
   private Topology topology;
 
   AdmissionController(
       CellAdmission.Environment environment,
       CellAdmission.CrashListener crashListener,
-      LeavingUpstreams leavingUpstreams,
+      UnavailableUpstreams unavailableUpstreams,
       Topology topology) {
     this.commands = environment.commands();
     this.environment = environment;
     this.crashListener = crashListener;
-    this.leavingUpstreams = leavingUpstreams;
+    this.unavailableUpstreams = unavailableUpstreams;
     this.topology = topology;
   }
 
@@ -77,7 +77,7 @@
   private CellAdmission getOrCreateAdmission(Cell cell) {
     CellAdmission c = admissions.get(cell.name());
     if (c == null) {
-      c = new CellAdmission(cell, environment, crashListener, leavingUpstreams);
+      c = new CellAdmission(cell, environment, crashListener, unavailableUpstreams);
       admissions.put(cell.name(), c);
     }
     return c;
--- a/core/src/main/java/org/mustardlatch/core/routing/CellAdmission.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/CellAdmission.java
@@ -86,7 +86,7 @@
   private final KvTransferLimiter transferLimiter = new KvTransferLimiter();
   private final DepartureRate departureRate = new DepartureRate();
   private Placer placer;
-  private final LeavingUpstreams leavingUpstreams;
+  private final UnavailableUpstreams unavailableUpstreams;
   private final long handoverUntilNanos;
   private @Nullable CellSummary summary;
   private long summaryComputedNanos;
@@ -95,14 +95,17 @@
   private double averageRequestPieces;
 
   CellAdmission(
-      Cell cell, Environment env, CrashListener crashListener, LeavingUpstreams leavingUpstreams) {
+      Cell cell,
+      Environment env,
+      CrashListener crashListener,
+      UnavailableUpstreams unavailableUpstreams) {
     this.cell = cell;
     this.commands = env.commands();
     this.evidence = env.evidence();
     this.settings = env.settings();
     this.retryAfterJitter = new RetryAfterJitter(env.random());
     this.crashListener = crashListener;
-    this.leavingUpstreams = leavingUpstreams;
+    this.unavailableUpstreams = unavailableUpstreams;
     this.placer = createPlacer(cell);
     this.handoverUntilNanos = commands.now() + HANDOVER_NANOS;
     this.lastActivityNanos = commands.now();
@@ -290,7 +293,7 @@
       }
       engines.put(u.id(), e);
     }
-    return new Placer(next, engines.values(), leavingUpstreams);
+    return new Placer(next, engines.values(), unavailableUpstreams);
   }
 
   /** Drops reservations and queued requests of nodes that are dead or removed. */
--- a/core/src/main/java/org/mustardlatch/core/routing/EngineState.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/EngineState.java
@@ -71,16 +71,16 @@
   }
 
   /** Returns whether work can be sent now: the engine is neither leaving nor blocked. */
-  boolean isUsable(LeavingUpstreams leavingUpstreams, long now) {
+  boolean isUsable(UnavailableUpstreams unavailableUpstreams, long now) {
     return !upstream.leaving()
         && now >= blockedUntilNanos
-        && !leavingUpstreams.contains(upstream.id(), now);
+        && !unavailableUpstreams.contains(upstream.id(), now);
   }
 
   /** Returns whether work can be sent now or after a block of at most 300 ms. */
-  boolean isUsableSoon(LeavingUpstreams leavingUpstreams, long now) {
+  boolean isUsableSoon(UnavailableUpstreams unavailableUpstreams, long now) {
     return isUsable(
-        leavingUpstreams, Math.max(now, Math.min(blockedUntilNanos, now + USABLE_SOON_NANOS)));
+        unavailableUpstreams, Math.max(now, Math.min(blockedUntilNanos, now + USABLE_SOON_NANOS)));
   }
 
   /** Ensures that the engine gets no new work for at least {@code durationNanos} from now. */
--- a/core/src/main/java/org/mustardlatch/core/routing/NodeRouter.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/NodeRouter.java
@@ -43,7 +43,7 @@
   private final NodeSettings settings = new NodeSettings();
   private final CrashEvidence evidence = new CrashEvidence();
   private final PauseDetector pauseDetector = new PauseDetector();
-  private final LeavingUpstreams leavingUpstreams = new LeavingUpstreams();
+  private final UnavailableUpstreams unavailableUpstreams = new UnavailableUpstreams();
   private final CrashEvidenceCoordinator evidenceCoordinator;
   private final PromptPartEvidence promptPartEvidence = new PromptPartEvidence();
   private final PromptPartQuarantine promptPartQuarantine;
@@ -76,7 +76,7 @@
     this.promptPartQuarantine =
         new PromptPartQuarantine(commands, evidenceCoordinator, promptPartEvidence);
     this.admissionController =
-        new AdmissionController(environment, evidenceCoordinator, leavingUpstreams, topology);
+        new AdmissionController(environment, evidenceCoordinator, unavailableUpstreams, topology);
     this.permissionClient = new RunPermissionClient(commands, evidenceCoordinator);
     this.requestCoordinator =
         new RequestCoordinator(
@@ -84,7 +84,7 @@
             evidenceCoordinator,
             promptPartQuarantine,
             permissionClient,
-            leavingUpstreams,
+            unavailableUpstreams,
             region,
             topology);
     this.orphanSweeper = new OrphanedAttemptSweeper(commands, topology);
@@ -171,6 +171,8 @@
       }
       case RoutingEvent.MembersChanged e -> membersChanged(e.members());
       case RoutingEvent.UpstreamLeaving e -> upstreamLeaving(e.upstream());
+      case RoutingEvent.UpstreamPaused e ->
+          unavailableUpstreams.pause(e.upstream(), commands.now() + e.duration().toNanos());
       case RoutingEvent.TimerFired e -> timerFired(e.key());
       case RoutingEvent.ApplicationRunRequested e -> decideRun(e);
       case RoutingEvent.ApplicationRunEnded e ->
@@ -216,7 +218,7 @@
       case AdmissionMessage.CellSummary m -> requestCoordinator.recordSummary(m);
       case AdmissionMessage m -> admissionController.handle(from, m);
       case RunPermission m -> permissionClient.permissionReceived(m);
-      case LeavingNotice m -> leavingUpstreams.recordRemoteSignal(m.upstream(), commands.now());
+      case LeavingNotice m -> unavailableUpstreams.recordRemoteSignal(m.upstream(), commands.now());
       case PromptCrashReport m -> promptPartQuarantine.handle(m);
       case PromptPartsCleared m -> promptPartQuarantine.handle(m);
       case EvidenceMessage m -> evidenceCoordinator.handle(from, m);
@@ -234,12 +236,12 @@
   }
 
   private void upstreamLeaving(UpstreamId upstream) {
-    leavingUpstreams.recordLocalSignal(upstream, commands.now());
+    unavailableUpstreams.recordLocalSignal(upstream, commands.now());
     broadcastLeavingNotices();
   }
 
   private void broadcastLeavingNotices() {
-    for (UpstreamId u : leavingUpstreams.takeDueNotices(commands.now())) {
+    for (UpstreamId u : unavailableUpstreams.takeDueNotices(commands.now())) {
       evidenceCoordinator.broadcast(new LeavingNotice(u));
     }
   }
@@ -255,7 +257,7 @@
     topologyChanged();
     for (Member m : next) {
       if (isNewStart(before.member(m.host()), m) && isIntroducerOf(m)) {
-        leavingUpstreams
+        unavailableUpstreams
             .listActive(commands.now())
             .forEach(u -> commands.send(m.host(), new LeavingNotice(u)));
         evidenceCoordinator.sendRecentReports(m.host());
@@ -297,7 +299,7 @@
   private void tick() {
     commands.setTimer(TICK_TIMER, commands.self().value(), commands.now() + TICK_INTERVAL_NANOS);
     broadcastLeavingNotices();
-    leavingUpstreams.removeExpired(topology, commands.now());
+    unavailableUpstreams.removeExpired(topology, commands.now());
     admissionController.tickAll();
     evidenceCoordinator.tick();
     promptPartQuarantine.tick();
--- a/core/src/main/java/org/mustardlatch/core/routing/Placer.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/Placer.java
@@ -36,7 +36,7 @@
 
   private final Cell cell;
   private final int pieceTokens;
-  private final LeavingUpstreams leavingUpstreams;
+  private final UnavailableUpstreams unavailableUpstreams;
   private final List<EngineState> prefillEngines = new ArrayList<>();
   private final List<EngineState> decodeEngines = new ArrayList<>();
   private double medianPrefillSlowdown = 1;
@@ -59,10 +59,10 @@
       long prefillEndNanos,
       long firstTokenNanos) {}
 
-  Placer(Cell cell, Iterable<EngineState> engines, LeavingUpstreams leavingUpstreams) {
+  Placer(Cell cell, Iterable<EngineState> engines, UnavailableUpstreams unavailableUpstreams) {
     this.cell = cell;
     this.pieceTokens = cell.model().memoryPieceTokens();
-    this.leavingUpstreams = leavingUpstreams;
+    this.unavailableUpstreams = unavailableUpstreams;
     for (EngineState e : engines) {
       if (e.upstream.role().prefills()) {
         prefillEngines.add(e);
@@ -87,14 +87,14 @@
    */
   boolean mayHaveCapacity(long now) {
     for (EngineState d : decodeEngines) {
-      if (d.freeSlots() > 0 && d.isUsable(leavingUpstreams, now)) {
+      if (d.freeSlots() > 0 && d.isUsable(unavailableUpstreams, now)) {
         if (d.upstream.role() == UpstreamRole.DECODE_WITH_PROMPT) {
           return true;
         }
         for (EngineState p : prefillEngines) {
           if (p.freeSlots() > 0
               && p.prefillBacklogNanos(now) <= LOOKAHEAD_NANOS
-              && p.isUsable(leavingUpstreams, now)) {
+              && p.isUsable(unavailableUpstreams, now)) {
             return true;
           }
         }
@@ -143,7 +143,7 @@
     EngineState d = selectDecodeEngine(request, null, 0, suspect, transferLimiter, handover, now);
     if (d == null
         || d.upstream.role() != UpstreamRole.DECODE_WITH_PROMPT
-        || prefillEngines.stream().anyMatch(e -> e.isUsableSoon(leavingUpstreams, now))) {
+        || prefillEngines.stream().anyMatch(e -> e.isUsableSoon(unavailableUpstreams, now))) {
       return null;
     }
     long nominal = d.nominalPrefillNanos(request.promptTokens(), request.prefixBlocks());
@@ -209,7 +209,7 @@
       return false;
     }
     for (EngineState other : pool) {
-      if (other.isUsable(leavingUpstreams, now)
+      if (other.isUsable(unavailableUpstreams, now)
           && !request.excludedUpstreams().contains(other.upstream.id())) {
         return true;
       }
@@ -219,7 +219,7 @@
 
   private boolean canTakePrefill(
       EngineState e, ReservationRequest request, boolean suspect, long now) {
-    if (!e.isUsable(leavingUpstreams, now) || isExcluded(e, request, prefillEngines, now)) {
+    if (!e.isUsable(unavailableUpstreams, now) || isExcluded(e, request, prefillEngines, now)) {
       return false;
     }
     if (e.freeSlots() == 0
@@ -235,7 +235,8 @@
     double best = Double.MAX_VALUE;
     for (EngineState e : prefillEngines) {
       double ratio = e.currentPrefillSlowdown(now);
-      if (e.isUsable(leavingUpstreams, now) && ratio <= MAX_NORMAL_RATIO * medianPrefillSlowdown) {
+      if (e.isUsable(unavailableUpstreams, now)
+          && ratio <= MAX_NORMAL_RATIO * medianPrefillSlowdown) {
         long nominal = e.nominalPrefillNanos(request.promptTokens(), request.prefixBlocks());
         best = Math.min(best, e.prefillBacklogNanos(now) + nominal * ratio);
       }
@@ -274,7 +275,7 @@
     EngineState bestSlow = null;
     double bestSlowScore = Double.MAX_VALUE;
     for (EngineState e : decodeEngines) {
-      if (!e.isUsable(leavingUpstreams, now) || isExcluded(e, request, decodeEngines, now)) {
+      if (!e.isUsable(unavailableUpstreams, now) || isExcluded(e, request, decodeEngines, now)) {
         continue;
       }
       int free = handover ? e.freeSlotsInHandover() : e.freeSlots();
@@ -405,7 +406,7 @@
     double sum = 0;
     double slowSum = 0;
     for (EngineState e : prefillEngines) {
-      if (e.isUsableSoon(leavingUpstreams, now)) {
+      if (e.isUsableSoon(unavailableUpstreams, now)) {
         double ratio = e.currentPrefillSlowdown(now);
         double rate = e.upstream.prefillTokensPerSecond() / 1e9 / ratio;
         if (isSlow(ratio, medianPrefillSlowdown)) {
@@ -418,7 +419,7 @@
     if (sum + slowSum == 0) {
       for (EngineState e : decodeEngines) {
         if (e.upstream.role() == UpstreamRole.DECODE_WITH_PROMPT
-            && e.isUsableSoon(leavingUpstreams, now)) {
+            && e.isUsableSoon(unavailableUpstreams, now)) {
           sum += e.upstream.prefillTokensPerSecond() / 1e9;
         }
       }
@@ -449,7 +450,7 @@
   long nanosUntilNextPrefill(long now) {
     long best = Long.MAX_VALUE;
     for (EngineState e : prefillEngines) {
-      if (e.isUsableSoon(leavingUpstreams, now)) {
+      if (e.isUsableSoon(unavailableUpstreams, now)) {
         long blocked = Math.max(now, e.blockedUntilNanos) - now;
         best = Math.min(best, Math.max(blocked, e.prefillBacklogNanos(now) - LOOKAHEAD_NANOS));
       }
@@ -457,7 +458,7 @@
     if (best == Long.MAX_VALUE) {
       for (EngineState e : decodeEngines) {
         if (e.upstream.role() == UpstreamRole.DECODE_WITH_PROMPT
-            && e.isUsableSoon(leavingUpstreams, now)) {
+            && e.isUsableSoon(unavailableUpstreams, now)) {
           best = Math.min(best, e.prefillBacklogNanos(now));
         }
       }
@@ -469,7 +470,7 @@
   int freeDecodeCapacity(int pieces, long now) {
     int sum = 0;
     for (EngineState e : decodeEngines) {
-      sum += e.isUsableSoon(leavingUpstreams, now) ? e.freeCapacityFor(pieces) : 0;
+      sum += e.isUsableSoon(unavailableUpstreams, now) ? e.freeCapacityFor(pieces) : 0;
     }
     return sum;
   }
@@ -478,7 +479,7 @@
   int totalDecodeCapacity(int pieces, long now) {
     int sum = 0;
     for (EngineState e : decodeEngines) {
-      sum += e.isUsableSoon(leavingUpstreams, now) ? e.totalCapacityFor(pieces) : 0;
+      sum += e.isUsableSoon(unavailableUpstreams, now) ? e.totalCapacityFor(pieces) : 0;
     }
     return sum;
   }
--- a/core/src/main/java/org/mustardlatch/core/routing/RequestCoordinator.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/RequestCoordinator.java
@@ -45,7 +45,7 @@
   private final NodeSettings settings;
   private final RunOutcomes runOutcomes;
   private final RunPermissionClient permissionClient;
-  private final LeavingUpstreams leavingUpstreams;
+  private final UnavailableUpstreams unavailableUpstreams;
   private final RegionId region;
   private final RetryAfterJitter retryAfterJitter;
   private final CellChooser cellChooser;
@@ -65,14 +65,14 @@
       CrashEvidenceCoordinator evidenceCoordinator,
       PromptPartQuarantine promptParts,
       RunPermissionClient permissionClient,
-      LeavingUpstreams leavingUpstreams,
+      UnavailableUpstreams unavailableUpstreams,
       RegionId region,
       Topology topology) {
     this.commands = env.commands();
     this.settings = env.settings();
     this.runOutcomes = new RunOutcomes(env, evidenceCoordinator, promptParts);
     this.permissionClient = permissionClient;
-    this.leavingUpstreams = leavingUpstreams;
+    this.unavailableUpstreams = unavailableUpstreams;
     this.region = region;
     this.deadlines = new AttemptDeadlines(settings, region);
     this.retryAfterJitter = new RetryAfterJitter(env.random());
@@ -206,7 +206,7 @@
 
   /** Returns whether an engine is leaving, which the admitting node may not know yet. */
   private boolean isLeaving(UpstreamId engine) {
-    return topology.isLeaving(engine) || leavingUpstreams.contains(engine, commands.now());
+    return topology.isLeaving(engine) || unavailableUpstreams.contains(engine, commands.now());
   }
 
   void reservationQueued(HostId from, ReserveQueued response) {
--- a/core/src/main/java/org/mustardlatch/core/routing/RoutingEvent.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/RoutingEvent.java
@@ -1,5 +1,6 @@
 package org.mustardlatch.core.routing;
 
+import java.time.Duration;
 import java.util.List;
 import org.mustardlatch.core.manifest.Manifest;
 import org.mustardlatch.core.model.AttemptId;
@@ -109,6 +110,9 @@
   /** An upstream is leaving (draining) and must not receive new work. */
   record UpstreamLeaving(UpstreamId upstream) implements RoutingEvent {}
 
+  /** An upstream refused a request of this node and wants no more from it for some time. */
+  record UpstreamPaused(UpstreamId upstream, Duration duration) implements RoutingEvent {}
+
   /** A timer that was set by {@link RoutingCommand.SetTimer} fired. */
   record TimerFired(TimerKey key) implements RoutingEvent {}
 
--- a/core/src/main/java/org/mustardlatch/core/routing/LeavingUpstreams.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/UnavailableUpstreams.java
@@ -7,11 +7,12 @@
 import org.mustardlatch.core.model.UpstreamId;
 
 /**
- * The upstreams that are leaving (draining), as signaled by the upstream itself, the host list or a
- * notice of another node. Leaving upstreams of the manifest are not recorded here: {@link
+ * The upstreams that take no new work: those that are leaving (draining), as signaled by the
+ * upstream itself, the host list or a notice of another node, and those that want no requests of
+ * this node for some time. Leaving upstreams of the manifest are not recorded here: {@link
  * EngineState#isUsable} checks both.
  */
-final class LeavingUpstreams {
+final class UnavailableUpstreams {
   /** Lifetime of a signal; the host list repeats its signal every time it is read. */
   static final long SIGNAL_LIFETIME_NANOS = 300_000_000_000L;
 
@@ -28,6 +29,13 @@
 
   private final Map<UpstreamId, LeavingSignal> signals = new HashMap<>();
 
+  private final Map<UpstreamId, Long> pausedUntilNanos = new HashMap<>();
+
+  /** Records until when an upstream wants no requests of this node, monotonic time. */
+  void pause(UpstreamId upstream, long untilNanos) {
+    pausedUntilNanos.merge(upstream, untilNanos, Math::max);
+  }
+
   /** Records a signal that another node observed, or extends the lifetime of a recorded one. */
   void recordRemoteSignal(UpstreamId upstream, long now) {
     LeavingSignal signal = signals.computeIfAbsent(upstream, u -> new LeavingSignal());
@@ -36,7 +44,7 @@
 
   /** Records a signal that this node observed; notices follow unless it was already recorded. */
   void recordLocalSignal(UpstreamId upstream, long now) {
-    if (!contains(upstream, now)) {
+    if (!isLeaving(upstream, now)) {
       LeavingSignal signal = new LeavingSignal();
       signal.remainingNotices = MAX_NOTICES;
       signal.nextNoticeNanos = now;
@@ -45,8 +53,14 @@
     recordRemoteSignal(upstream, now);
   }
 
-  /** Returns whether an upstream has an unexpired signal. */
+  /** Returns whether an upstream must get no new work. */
   boolean contains(UpstreamId upstream, long now) {
+    Long end = pausedUntilNanos.isEmpty() ? null : pausedUntilNanos.get(upstream);
+    return isLeaving(upstream, now) || (end != null && now < end);
+  }
+
+  /** Returns whether an upstream has an unexpired signal that it is leaving. */
+  private boolean isLeaving(UpstreamId upstream, long now) {
     LeavingSignal signal = signals.isEmpty() ? null : signals.get(upstream);
     return signal != null && now < signal.expiresNanos;
   }
@@ -67,11 +81,12 @@
 
   /** Returns all upstreams with an unexpired signal, to be sent to a node that joined. */
   List<UpstreamId> listActive(long now) {
-    return signals.keySet().stream().filter(u -> contains(u, now)).toList();
+    return signals.keySet().stream().filter(u -> isLeaving(u, now)).toList();
   }
 
-  /** Drops expired signals and upstreams that are no longer in the manifest. */
+  /** Drops expired signals and pauses, and upstreams that are no longer in the manifest. */
   void removeExpired(Topology topology, long now) {
+    pausedUntilNanos.values().removeIf(end -> now >= end);
     signals
         .entrySet()
         .removeIf(
--- a/core/src/test/java/org/mustardlatch/core/routing/PlacerTest.java
+++ b/core/src/test/java/org/mustardlatch/core/routing/PlacerTest.java
@@ -35,7 +35,7 @@
               Fixtures.OSLO,
               Stream.of(prefillEngine, firstDecode, secondDecode).map(e -> e.upstream).toList()),
           List.of(prefillEngine, firstDecode, secondDecode),
-          new LeavingUpstreams());
+          new UnavailableUpstreams());
 
   PlacerTest() {
     transferLimiter.recordTransfer(KV_BYTES, TRANSFER_NANOS, NOW - SECOND);
--- a/gateway/src/main/java/org/mustardlatch/gateway/FleetState.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/FleetState.java
@@ -38,6 +38,7 @@
   private final TimerService timers;
   private final InstanceTable table = new InstanceTable();
   private final Map<String, PooledInstance> pools = new HashMap<>();
+  private final Map<String, Long> pauseEndNanos = new HashMap<>();
   private final List<Runnable> listeners = new ArrayList<>();
   private BiConsumer<Instance, HttpResponse> responseObserver = (target, head) -> {};
   private @Nullable GatewayConfiguration configuration;
@@ -60,6 +61,17 @@
     responseObserver = observer;
   }
 
+  /** Records that an upstream wants no requests of this node for some time. */
+  void pause(Instance target, Duration duration) {
+    pauseEndNanos.values().removeIf(end -> timers.nanos() >= end);
+    pauseEndNanos.merge(target.id(), timers.nanos() + duration.toNanos(), Math::max);
+  }
+
+  private boolean isPaused(Instance i) {
+    Long end = pauseEndNanos.get(i.id());
+    return end != null && timers.nanos() < end;
+  }
+
   /** Records that an upstream says that it is leaving, which its entry may not do yet or ever. */
   void upstreamLeaving(Instance target) {
     Instance known = table.get(target.id());
@@ -77,12 +89,12 @@
 
   /**
    * Returns the upstreams of a service that accept new work, which excludes those leaving
-   * (draining).
+   * (draining) and those that want none for some time.
    */
   public List<Instance> instancesForNewWork(String service) {
     List<Instance> result = new ArrayList<>();
     for (Instance i : table.all()) {
-      if (i.service().equals(service) && !i.leaving()) {
+      if (i.service().equals(service) && !i.leaving() && !isPaused(i)) {
         result.add(i);
       }
     }
--- a/gateway/src/main/java/org/mustardlatch/gateway/Gateway.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/Gateway.java
@@ -11,6 +11,8 @@
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
 import org.mustardlatch.core.error.ErrorCode;
+import org.mustardlatch.core.model.UpstreamId;
+import org.mustardlatch.core.routing.RoutingEvent;
 import org.mustardlatch.core.time.TimerService;
 import org.mustardlatch.gateway.config.CallerLimits;
 import org.mustardlatch.gateway.config.GatewayConfiguration;
@@ -124,10 +126,18 @@
   }
 
   private void upstreamResponded(Instance target, HttpResponse head) {
-    if (protocol.readResponse(head).leaving()) {
-      // Listeners of the fleet must not run inside the connection's handler.
+    ResponseMetadata metadata = protocol.readResponse(head);
+    // What listeners and the router do must not run inside the connection's handler.
+    if (metadata.leaving()) {
       timers.schedule(Duration.ZERO, () -> fleet.upstreamLeaving(target));
     }
+    Duration pause = metadata.pause();
+    if (pause != null) {
+      EventLog.log(LogEvent.UPSTREAM_PAUSED, target.id(), pause.toMillis());
+      fleet.pause(target, pause);
+      var event = new RoutingEvent.UpstreamPaused(new UpstreamId(target.id()), pause);
+      timers.schedule(Duration.ZERO, () -> generationHandler.handle(event));
+    }
   }
 
   /** Returns the address for callers, with the actual port if port 0 was configured. */
--- a/gateway/src/main/java/org/mustardlatch/gateway/ResponseMetadata.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/ResponseMetadata.java
@@ -1,5 +1,6 @@
 package org.mustardlatch.gateway;
 
+import java.time.Duration;
 import org.jspecify.annotations.Nullable;
 import org.mustardlatch.core.balancing.UpstreamLoad;
 
@@ -11,10 +12,13 @@
  * @param hasUpstreamStamp whether the response carries the stamp that upstreams add to theirs
  * @param load the upstream's load; null if not stated
  * @param leaving whether the upstream states that it is leaving
+ * @param pause time for which the upstream, which refused the request, wants no more from this
+ *     node; null if not stated
  */
 public record ResponseMetadata(
     @Nullable String requestId,
     boolean notExecuted,
     boolean hasUpstreamStamp,
     @Nullable UpstreamLoad load,
-    boolean leaving) {}
+    boolean leaving,
+    @Nullable Duration pause) {}
--- a/gateway/src/main/java/org/mustardlatch/gateway/log/LogEvent.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/log/LogEvent.java
@@ -37,6 +37,7 @@
   STORE_UNREACHABLE(8011, Level.WARN, "store unreachable watch={} reason={}"),
   STORE_RESTORED(8036, Level.WARN, "store restored from an earlier copy watch={}"),
   UPSTREAM_SAID_LEAVING(8037, Level.INFO, "upstream={} says that it is leaving"),
+  UPSTREAM_PAUSED(8038, Level.INFO, "upstream={} wants no requests for {} ms"),
   CONFIGURATION_APPLIED(8012, Level.INFO, "configuration in force version={} routes={}"),
   CONFIGURATION_OLD(8013, Level.INFO, "configuration ignored version={} in_force={}"),
   CONFIGURATION_UNREADABLE(8014, Level.WARN, "configuration unreadable object={}"),
--- a/gateway/src/test/java/org/mustardlatch/gateway/TestProtocol.java
+++ b/gateway/src/test/java/org/mustardlatch/gateway/TestProtocol.java
@@ -46,7 +46,7 @@
   public ResponseMetadata readResponse(HttpResponse response) {
     HttpHeaders h = response.headers();
     return new ResponseMetadata(
-        h.get("Id"), h.contains("Not-Run"), h.contains("Mark"), null, false);
+        h.get("Id"), h.contains("Not-Run"), h.contains("Mark"), null, false, null);
   }
 
   @Override
--- a/replay/src/main/java/org/mustardlatch/replay/BaselinePolicy.java
+++ b/replay/src/main/java/org/mustardlatch/replay/BaselinePolicy.java
@@ -63,6 +63,9 @@
       case RoutingEvent.DecodeFinished e -> finish(e.attempt(), out);
       case RoutingEvent.LoadReported e -> view.report(e.upstream(), e.report());
       case RoutingEvent.ManifestApplied e -> view.apply(e.manifest());
+      case RoutingEvent.UpstreamPaused e -> {
+        // The baseline knows no pauses.
+      }
       case RoutingEvent.UpstreamLeaving e -> view.leaving(e.upstream());
       case RoutingEvent.TimerFired e -> {
         Job job = jobs.get(new RequestId(e.key().subject()));
