Let a stand-in that crashes refuse connections before it breaks the open ones

Cause, from its log: the first of two crashed engines was taken for a broken connection (DISCONNECTED). The stand-in closed its connections before its listener, so the node's new connection was still accepted, as by a live engine. With one crash on record instead of two the content was a suspect and not quarantined; its repetition waited for an engine, and both were gone. After the end of a process no listener is left.

The stand-in now closes the listener first, waits until it refuses, and then breaks the connections. EngineStandinCrashTest (50 crashes) failed before, and with the listener closed but not awaited, and passes. No product code, no check and no bound is changed.

--- a/standin/src/main/java/org/mustardlatch/standin/StandinServer.java
+++ b/standin/src/main/java/org/mustardlatch/standin/StandinServer.java
@@ -5,7 +5,10 @@
 import io.javalin.config.RoutesConfig;
 import io.javalin.http.Context;
 import io.javalin.http.Handler;
+import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.net.SocketAddress;
 import java.net.URI;
 import java.util.Arrays;
@@ -17,6 +20,7 @@
 import org.eclipse.jetty.ee10.servlet.ServletContextRequest;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.server.Connector;
+import org.eclipse.jetty.server.NetworkConnector;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -25,6 +29,7 @@
  */
 final class StandinServer {
   private static final String HOST = "127.0.0.1";
+  private static final int MAX_LISTENER_CHECKS = 1_000;
 
   private final Consumer<RoutesConfig> routes;
   private final Set<Integer> silentPeerPorts = ConcurrentHashMap.newKeySet();
@@ -57,7 +62,7 @@
     javalin = created;
   }
 
-  /** Closes all connections at once and stops listening. */
+  /** Stops listening and closes all connections at once. */
   synchronized void stop() {
     Javalin running = javalin;
     if (running == null) {
@@ -65,6 +70,10 @@
     }
     javalin = null;
     stopped.countDown();
+    // First, so that who sees its connection break finds no listener, as after the end of a
+    // process.
+    connectors(running).forEach(StandinServer::stopListening);
+    awaitNoListener();
     closeConnections(running);
     running.stop();
   }
@@ -113,6 +122,26 @@
     };
   }
 
+  private static void stopListening(Connector connector) {
+    if (connector instanceof NetworkConnector listener) {
+      listener.close();
+    }
+  }
+
+  /** Waits until connections are refused: a listener closes only when its acceptor has noticed. */
+  private void awaitNoListener() {
+    for (int i = 0; i < MAX_LISTENER_CHECKS; i++) {
+      try (Socket unused = new Socket(InetAddress.getLoopbackAddress(), port)) {
+        Thread.sleep(1);
+      } catch (IOException e) {
+        return;
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        return;
+      }
+    }
+  }
+
   private static void closeConnections(Javalin running) {
     connectors(running).flatMap(c -> c.getConnectedEndPoints().stream()).forEach(EndPoint::close);
   }
