--- a/standin/src/main/java/org/mustardlatch/standin/StandinServer.java
+++ b/standin/src/main/java/org/mustardlatch/standin/StandinServer.java
@@ -132,12 +132,9 @@
   private void awaitNoListener() {
     for (int i = 0; i < MAX_LISTENER_CHECKS; i++) {
       try (Socket unused = new Socket(InetAddress.getLoopbackAddress(), port)) {
-        Thread.sleep(1);
+        Thread.onSpinWait();
       } catch (IOException e) {
         return;
-      } catch (InterruptedException e) {
-        Thread.currentThread().interrupt();
-        return;
       }
     }
   }
