Let a stand-in that crashes serve nothing once a connection breaks

Cause: closed the listener first, but the daemon's probe may use another open connection of its pool. The stand-in closes its connections one after the other, and served requests on those still open. A process that has ended serves none.

--- a/standin/src/main/java/org/mustardlatch/standin/StandinServer.java
+++ b/standin/src/main/java/org/mustardlatch/standin/StandinServer.java
@@ -30,12 +30,14 @@
 final class StandinServer {
   private static final String HOST = "127.0.0.1";
   private static final int MAX_LISTENER_CHECKS = 1_000;
+  private static final int CONNECT_TIMEOUT_MILLIS = 50;
 
   private final Consumer<RoutesConfig> routes;
   private final Set<Integer> silentPeerPorts = ConcurrentHashMap.newKeySet();
   private int port;
   private @Nullable Javalin javalin;
   private volatile CountDownLatch stopped = new CountDownLatch(1);
+  private volatile boolean stopping;
 
   StandinServer(int port, Consumer<RoutesConfig> routes) {
     this.port = port;
@@ -45,6 +47,7 @@
   /** Starts listening; a server that was started with port 0 keeps its port when restarted. */
   synchronized void start() {
     stopped = new CountDownLatch(1);
+    stopping = false;
     silentPeerPorts.clear();
     Javalin created =
         Javalin.create(
@@ -69,6 +72,7 @@
       return;
     }
     javalin = null;
+    stopping = true;
     stopped.countDown();
     // First, so that who sees its connection break finds no listener, as after the end of a
     // process.
@@ -116,7 +120,11 @@
 
   private Handler holdWhenSilent() {
     return ctx -> {
-      if (isSilent(ctx)) {
+      if (stopping) {
+        // Connections are closed one after the other; none may answer once the first is closed.
+        breakConnection(ctx);
+        ctx.skipRemainingHandlers();
+      } else if (isSilent(ctx)) {
         holdUntilStop();
       }
     };
@@ -131,8 +139,10 @@
   /** Waits until connections are refused: a listener closes only when its acceptor has noticed. */
   private void awaitNoListener() {
     for (int i = 0; i < MAX_LISTENER_CHECKS; i++) {
-      try (Socket unused = new Socket(InetAddress.getLoopbackAddress(), port)) {
-        Thread.onSpinWait();
+      try (Socket s = new Socket()) {
+        // Times out when the queue of the listener is full, which nobody accepts from any more.
+        s.connect(
+            new InetSocketAddress(InetAddress.getLoopbackAddress(), port), CONNECT_TIMEOUT_MILLIS);
       } catch (IOException e) {
         return;
       }
