Observe upstreams after a call was cancelled

What callers saw: a request that ends each server that runs it reached servers without end if its callers left before the server ended (BUDGET), and a sound request beside it was refused as the cause.

Cause: a node closes its call when the caller leaves, and looked no further. Only a call that breaks was evidence of a crash. Calls given up for silence were looked at once, 500 ms later. The permission to run a suspect was returned at once as well, so the next suspect ran while the first one could still end its server, and both were on the crash.

Change: an upstream is observed for 2 s after a call was cancelled, whatever the reason, over one connection that ends with its process. When a probe shows that the process ended, its cancelled requests and the parts of their prompts count among those that it had. The permission of an abandoned run is returned a second later.

Ruled out: probes at fixed times after the cancellation. They need more connections and miss a process that ends and is back between two of them.

PromptPartQuarantineTest.promptsThatWereAbandonedBeforeTheEngine- CrashedAreEvidence and CrashEvidenceCoordinatorTest.suspectsWaitForARunThat- ItsCallerAbandonedAsItMayStillCrashTheUpstream hold the decisions.

--- a/core/src/main/java/org/mustardlatch/core/routing/NodeRouter.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/NodeRouter.java
@@ -176,18 +176,24 @@
       case RoutingEvent.TimerFired e -> timerFired(e.key());
       case RoutingEvent.ApplicationRunRequested e -> decideRun(e);
       case RoutingEvent.ApplicationRunEnded e ->
-          permissionClient.release(e.request(), e.fingerprint(), e.service());
+          permissionClient.release(e.request(), e.fingerprint(), e.service(), e.abandoned());
       case RoutingEvent.ApplicationRunCompleted e -> {
         clearSuspect(e.fingerprint());
-        permissionClient.release(e.request(), e.fingerprint(), e.service());
+        permissionClient.release(e.request(), e.fingerprint(), e.service(), false);
       }
-      case RoutingEvent.UpstreamCrashed e ->
-          evidenceCoordinator.processCrashed(
-              new CrashReport(e.upstream(), e.processId(), e.running()), e.lastSentNanos());
+      case RoutingEvent.UpstreamCrashed e -> upstreamCrashed(e);
       case RoutingEvent.DrainRequested e -> requestCoordinator.startDraining();
     }
   }
 
+  private void upstreamCrashed(RoutingEvent.UpstreamCrashed e) {
+    evidenceCoordinator.processCrashed(
+        new CrashReport(e.upstream(), e.processId(), e.running()), e.lastSentNanos());
+    for (RoutingEvent.AbandonedPrompt p : e.abandonedPrompts()) {
+      promptPartQuarantine.requestCrashed(e.upstream(), p.sharedParts(), p.sentNanos());
+    }
+  }
+
   private void decideRun(RoutingEvent.ApplicationRunRequested e) {
     switch (evidence.suspicionLevel(e.fingerprint(), commands.now())) {
       case CLEAN -> runDecided(e, Verdict.RUN);
--- a/core/src/main/java/org/mustardlatch/core/routing/RequestCoordinator.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/RequestCoordinator.java
@@ -680,6 +680,7 @@
   }
 
   private void closeRequest(EntryRequest q, Outcome outcome) {
+    boolean abandoned = q.liveAttempts().stream().anyMatch(Attempt::granted);
     for (Attempt a : q.liveAttempts()) {
       driver.cancel(a, outcome, false);
     }
@@ -688,7 +689,10 @@
     requests.remove(q.request.id());
     permissionClient.cancel(q.request.id());
     if (q.suspectPart != null) {
-      permissionClient.release(q.request.id(), q.suspectPart, PromptPartQuarantine.RUN_GROUP);
+      permissionClient.release(
+          q.request.id(), q.suspectPart, PromptPartQuarantine.RUN_GROUP, abandoned);
+    } else if (q.suspectRunPermitted) {
+      permissionClient.release(q.request.id(), q.request.fingerprint(), "", abandoned);
     }
     commands.emit(new RoutingCommand.CancelTimer(new TimerKey(TIMER_KIND, q.request.id().value())));
   }
--- a/core/src/main/java/org/mustardlatch/core/routing/RoutingEvent.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/RoutingEvent.java
@@ -56,8 +56,11 @@
   /**
    * An application request that waited for the answer to {@link ApplicationRunRequested}, or ran as
    * a suspect, has ended without a crash and without a response.
+   *
+   * @param abandoned whether an upstream had the request, and may still run it
    */
-  record ApplicationRunEnded(RequestId request, Fingerprint fingerprint, String service)
+  record ApplicationRunEnded(
+      RequestId request, Fingerprint fingerprint, String service, boolean abandoned)
       implements RoutingEvent {}
 
   /** An upstream responded to an application request that ran as a suspect. */
@@ -71,13 +74,33 @@
    *     upstream may restart under the identifier that it had
    * @param running the requests of this node that were running on the upstream
    * @param lastSentNanos monotonic time at which the last of these requests was sent
+   * @param abandonedPrompts the prompts of those that had been given up; the failure of the others'
+   *     calls is reported by events of their own
    */
   record UpstreamCrashed(
-      UpstreamId upstream, String processId, List<Fingerprint> running, long lastSentNanos)
+      UpstreamId upstream,
+      String processId,
+      List<Fingerprint> running,
+      long lastSentNanos,
+      List<AbandonedPrompt> abandonedPrompts)
       implements RoutingEvent {
-    /** Copies the list. */
+    /** Copies the lists. */
     public UpstreamCrashed {
       running = List.copyOf(running);
+      abandonedPrompts = List.copyOf(abandonedPrompts);
+    }
+  }
+
+  /**
+   * The prompt of a request that was given up before an engine had completed it.
+   *
+   * @param sharedParts the parts that other prompts may have too
+   * @param sentNanos monotonic time at which it was sent to the engine
+   */
+  record AbandonedPrompt(List<Fingerprint> sharedParts, long sentNanos) {
+    /** Copies the list. */
+    public AbandonedPrompt {
+      sharedParts = List.copyOf(sharedParts);
     }
   }
 
--- a/core/src/main/java/org/mustardlatch/core/routing/RunPermissionClient.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/RunPermissionClient.java
@@ -26,6 +26,13 @@
   private static final long GROUP_RETRY_INTERVAL_NANOS = 25_000_000;
   private static final int MAX_UNANSWERED_REQUESTS = 3;
 
+  // An upstream may crash after its call was cancelled. Another suspect that ran meanwhile would be
+  // on the same crash.
+  private static final long ABANDONED_RUN_NANOS = 1_000_000_000;
+
+  /** A permission to be returned, when its run can no longer crash the upstream. */
+  private record Release(RequestId id, Fingerprint fingerprint, String group) {}
+
   private static final class PendingRequest {
     final RequestId id;
     final Fingerprint fingerprint;
@@ -51,6 +58,7 @@
   private final CommandCollector commands;
   private final CrashEvidenceCoordinator evidenceCoordinator;
   private final Map<String, PendingRequest> pending = new HashMap<>();
+  private final Map<String, Release> delayedReleases = new HashMap<>();
 
   RunPermissionClient(CommandCollector commands, CrashEvidenceCoordinator evidenceCoordinator) {
     this.commands = commands;
@@ -82,13 +90,28 @@
     pending.remove(id.value());
   }
 
-  /** Returns the permission of a run that ended, neither by a crash nor by completing. */
-  void release(RequestId id, Fingerprint fingerprint, String group) {
+  /**
+   * Returns the permission of a run that ended, neither by a crash nor by completing.
+   *
+   * @param abandoned whether an upstream may still run the request; the permission is then kept for
+   *     some time
+   */
+  void release(RequestId id, Fingerprint fingerprint, String group, boolean abandoned) {
     cancel(id);
+    Release release = new Release(id, fingerprint, group);
+    if (abandoned) {
+      delayedReleases.put(id.value(), release);
+      commands.setTimer(TIMER_KIND, id.value(), commands.now() + ABANDONED_RUN_NANOS);
+    } else {
+      sendRelease(release);
+    }
+  }
+
+  private void sendRelease(Release r) {
     // The permission is with one of the owners that may have been asked.
-    List<HostId> owners = evidenceCoordinator.ownersOf(ownerKey(fingerprint, group));
+    List<HostId> owners = evidenceCoordinator.ownersOf(ownerKey(r.fingerprint(), r.group()));
     for (HostId owner : owners.subList(0, Math.min(MAX_UNANSWERED_REQUESTS, owners.size()))) {
-      commands.send(owner, new RunEnded(fingerprint, id.value()));
+      commands.send(owner, new RunEnded(r.fingerprint(), r.id().value()));
     }
   }
 
@@ -110,8 +133,16 @@
     }
   }
 
-  /** Repeats a request that an owner has not answered or has answered with WAIT. */
+  /**
+   * Repeats a request that an owner has not answered or has answered with WAIT, or returns the
+   * permission of an abandoned run.
+   */
   void timerFired(String subject) {
+    Release release = delayedReleases.remove(subject);
+    if (release != null) {
+      sendRelease(release);
+      return;
+    }
     PendingRequest p = pending.get(subject);
     if (p != null) {
       if (commands.now() >= p.deadlineNanos) {
--- a/core/src/test/java/org/mustardlatch/core/routing/CrashEvidenceCoordinatorTest.java
+++ b/core/src/test/java/org/mustardlatch/core/routing/CrashEvidenceCoordinatorTest.java
@@ -49,7 +49,9 @@
     Member other = Fixtures.member(1, OSLO);
     handle(new RoutingEvent.MembersChanged(List.of(Fixtures.member(0, OSLO), other)));
     var running = List.of(Fixtures.fingerprint(1));
-    handle(new RoutingEvent.UpstreamCrashed(new UpstreamId("app-1"), "app-1/7", running, now));
+    handle(
+        new RoutingEvent.UpstreamCrashed(
+            new UpstreamId("app-1"), "app-1/7", running, now, List.of()));
     commands.clear();
 
     Member restarted =
@@ -68,7 +70,7 @@
     handle(new RoutingEvent.MembersChanged(List.of(Fixtures.member(0, OSLO), other)));
     handle(
         new RoutingEvent.UpstreamCrashed(
-            new UpstreamId("app-1"), "app-1/7", List.of(Fixtures.fingerprint(1)), now));
+            new UpstreamId("app-1"), "app-1/7", List.of(Fixtures.fingerprint(1)), now, List.of()));
     for (int i = 0; i < 60; i++) {
       now += 100 * MILLI;
       handle(new RoutingEvent.TimerFired(new TimerKey("tick", Fixtures.host(0).value())));
@@ -87,7 +89,7 @@
       assertThat(decideApplicationRun(content)).isEqualTo(Verdict.RUN);
       handle(
           new RoutingEvent.UpstreamCrashed(
-              new UpstreamId(crash.substring(0, 5)), crash, List.of(content), now));
+              new UpstreamId(crash.substring(0, 5)), crash, List.of(content), now, List.of()));
     }
     assertThat(decideApplicationRun(content)).isEqualTo(Verdict.QUARANTINED);
     assertThat(decideApplicationRun(Fixtures.fingerprint(2))).isEqualTo(Verdict.RUN);
@@ -113,7 +115,7 @@
   private Verdict crash(Fingerprint content, long sentNanos) {
     handle(
         new RoutingEvent.UpstreamCrashed(
-            new UpstreamId("app-1"), "app-1/7", List.of(content), sentNanos));
+            new UpstreamId("app-1"), "app-1/7", List.of(content), sentNanos, List.of()));
     return decideApplicationRun(content);
   }
 
@@ -123,7 +125,7 @@
     Fingerprint second = Fixtures.fingerprint(2);
     handle(
         new RoutingEvent.UpstreamCrashed(
-            new UpstreamId("app-1"), "app-1/7", List.of(first, second), now));
+            new UpstreamId("app-1"), "app-1/7", List.of(first, second), now, List.of()));
     RequestId running = new RequestId("a1");
     requestApplicationRun(running, first);
     assertThat(lastCommandOfType(RoutingCommand.DecideApplicationRun.class).verdict())
@@ -140,8 +142,28 @@
         .isEqualTo(new RoutingCommand.DecideApplicationRun(new RequestId("a2"), Verdict.RUN, true));
   }
 
+  @Test
+  void suspectsWaitForARunThatItsCallerAbandonedAsItMayStillCrashTheUpstream() {
+    Fingerprint first = Fixtures.fingerprint(1);
+    Fingerprint second = Fixtures.fingerprint(2);
+    handle(
+        new RoutingEvent.UpstreamCrashed(
+            new UpstreamId("app-1"), "app-1/7", List.of(first, second), now, List.of()));
+    RequestId abandoned = new RequestId("a1");
+    requestApplicationRun(abandoned, first);
+    handle(new RoutingEvent.ApplicationRunEnded(abandoned, first, "app", true));
+    int before = commandsOfType(RoutingCommand.DecideApplicationRun.class).size();
+    requestApplicationRun(new RequestId("a2"), second);
+    assertThat(commandsOfType(RoutingCommand.DecideApplicationRun.class)).hasSize(before);
+
+    now += SECOND;
+    handle(new RoutingEvent.TimerFired(new TimerKey("permission", "a1")));
+    handle(new RoutingEvent.TimerFired(new TimerKey("permission", "a2")));
+    assertThat(commandsOfType(RoutingCommand.DecideApplicationRun.class)).hasSize(before + 1);
+  }
+
   private void requestApplicationRun(RequestId id, Fingerprint content) {
-    handle(new RoutingEvent.ApplicationRunRequested(id, content, "app", now + SECOND));
+    handle(new RoutingEvent.ApplicationRunRequested(id, content, "app", now + 2 * SECOND));
   }
 
   private Verdict decideApplicationRun(Fingerprint content) {
--- a/core/src/test/java/org/mustardlatch/core/routing/PromptPartQuarantineTest.java
+++ b/core/src/test/java/org/mustardlatch/core/routing/PromptPartQuarantineTest.java
@@ -70,6 +70,27 @@
         .getLast();
   }
 
+  @Test
+  void promptsThatWereAbandonedBeforeTheEngineCrashedAreEvidence() {
+    Fingerprint part = Fixtures.fingerprint(3);
+    for (int i = 0; i < 3; i++) {
+      now += 3 * SECOND;
+      handle(
+          new RoutingEvent.UpstreamCrashed(
+              new UpstreamId("d" + i),
+              "d" + i + "/7",
+              List.of(Fixtures.fingerprint(10 + i)),
+              now - SECOND,
+              List.of(new RoutingEvent.AbandonedPrompt(List.of(part), now - SECOND))));
+    }
+
+    assertThat(
+            commands.stream()
+                .filter(RoutingCommand.Explain.class::isInstance)
+                .map(c -> ((RoutingCommand.Explain) c).rule()))
+        .contains("prompt_part_quarantined");
+  }
+
   @Test
   void oneRunOfASuspectPartIsPermittedAtATime() {
     assertThat(requestRun("a")).isEqualTo(Verdict.RUN);
--- a/gateway/src/main/java/org/mustardlatch/gateway/ApplicationRequestHandler.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/ApplicationRequestHandler.java
@@ -275,7 +275,6 @@
     }
 
     private void onDeadline() {
-      activeAttempts.forEach(a -> crashDetector.checkLater(a.target, exchange, a.sentNanos));
       BufferedResponse error = serverError;
       close();
       if (error != null) {
@@ -291,15 +290,19 @@
       activeRequests.remove(exchange.caller());
       RequestId id = new RequestId(exchange.localId());
       if (awaitingDecision.remove(id) != null || suspect) {
+        boolean abandoned = activeAttempts.stream().anyMatch(a -> a.sent);
         runDecisions.handle(
             new RoutingEvent.ApplicationRunEnded(
-                id, exchange.fingerprint(), exchange.service().name()));
+                id, exchange.fingerprint(), exchange.service().name(), abandoned));
       }
       for (Attempt attempt : activeAttempts) {
         balancer.requestCancelled(attempt.upstream);
         if (attempt.call != null) {
           attempt.call.cancel();
         }
+        if (attempt.sent) {
+          crashDetector.observe(attempt.target, exchange, attempt.sentNanos);
+        }
       }
       activeAttempts.clear();
       if (deadlineTimer != null) {
@@ -407,6 +410,7 @@
       private final UpstreamId upstream;
       private final long sentNanos;
       private @Nullable Call call;
+      private boolean sent;
 
       Attempt(Instance target, long sentNanos) {
         this.target = target;
@@ -416,6 +420,7 @@
 
       @Override
       public void sent() {
+        sent = true;
         exchange.recordSent();
       }
 
--- a/gateway/src/main/java/org/mustardlatch/gateway/CrashDetector.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/CrashDetector.java
@@ -6,19 +6,23 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
 import org.mustardlatch.core.model.Fingerprint;
 import org.mustardlatch.core.model.UpstreamId;
 import org.mustardlatch.core.routing.RoutingEvent;
+import org.mustardlatch.core.time.TimerService;
 import org.mustardlatch.gateway.config.Instance;
 import org.mustardlatch.gateway.http.ConnectionProbe;
+import org.mustardlatch.gateway.http.ConnectionWatch;
 import org.mustardlatch.gateway.log.EventLog;
 import org.mustardlatch.gateway.log.LogEvent;
 
 /**
  * Tells upstream processes that crashed from connections that broke, and reports crashes to the
- * router. Calls that break at the same time share one probe of their upstream.
+ * router with the requests that the upstream had. Calls that break at the same time share one probe
+ * of their upstream. Calls that were cancelled share one connection to it that ends with its
+ * process.
  *
  * <p>Used on the event loop of the data path only.
  */
@@ -26,19 +30,39 @@
   // Calls that may be repeated wait for the result.
   private static final Duration PROBE_TIMEOUT = Duration.ofMillis(400);
 
-  private static final Duration GIVEN_UP_CALL_DELAY = Duration.ofMillis(500);
+  // An upstream may still run a request whose call was cancelled.
+  private static final Duration OBSERVATION_TIME = Duration.ofSeconds(2);
+
+  // An upstream that is at its limit of connections closes new ones at once.
+  private static final Duration WATCH_RETRY_INTERVAL = Duration.ofMillis(200);
 
   private record BrokenCall(Fingerprint fingerprint, long sentNanos, Consumer<Boolean> consumer) {}
 
+  private record AbandonedCall(
+      Fingerprint fingerprint, List<Fingerprint> sharedPromptParts, long sentNanos) {}
+
+  /** The cancelled calls of an upstream that it may still run. */
+  private static final class Observation {
+    final List<AbandonedCall> calls = new ArrayList<>();
+    @Nullable ConnectionWatch watch;
+  }
+
   private final EventLoop loop;
+  private final TimerService timers;
   private final FleetState fleet;
   private final GatewayMetrics metrics;
   private final Consumer<RoutingEvent> router;
   private final Map<Instance, List<BrokenCall>> brokenCalls = new HashMap<>();
+  private final Map<Instance, Observation> observations = new HashMap<>();
 
   CrashDetector(
-      EventLoop loop, FleetState fleet, GatewayMetrics metrics, Consumer<RoutingEvent> router) {
+      EventLoop loop,
+      TimerService timers,
+      FleetState fleet,
+      GatewayMetrics metrics,
+      Consumer<RoutingEvent> router) {
     this.loop = loop;
+    this.timers = timers;
     this.fleet = fleet;
     this.metrics = metrics;
     this.router = router;
@@ -54,45 +78,116 @@
   void check(Instance target, RoutedExchange exchange, long sentNanos, Consumer<Boolean> consumer) {
     EventLog.log(
         LogEvent.CALL_BROKEN, exchange.callerRequestId(), exchange.contentId(), target.id());
-    BrokenCall call = new BrokenCall(exchange.fingerprint(), sentNanos, consumer);
-    List<BrokenCall> probing = brokenCalls.get(target);
-    if (probing != null) {
-      probing.add(call);
-      return;
+    probe(target).add(new BrokenCall(exchange.fingerprint(), sentNanos, consumer));
+  }
+
+  /** Starts a probe unless one is in progress, and returns the calls that wait for its result. */
+  private List<BrokenCall> probe(Instance target) {
+    List<BrokenCall> waiting = brokenCalls.get(target);
+    if (waiting == null) {
+      waiting = new ArrayList<>();
+      brokenCalls.put(target, waiting);
+      ConnectionProbe.start(loop, target.address(), PROBE_TIMEOUT, r -> probeFinished(target, r));
     }
-    brokenCalls.put(target, new ArrayList<>(List.of(call)));
-    ConnectionProbe.start(loop, target.address(), PROBE_TIMEOUT, r -> finish(target, r));
+    return waiting;
   }
 
   /**
-   * Checks some time later whether an upstream has crashed that did not respond to a request. Its
-   * process may end only after the call has been given up.
+   * Observes an upstream for some time after a call was cancelled, which it may still run.
+   *
+   * @param exchange the request whose call was cancelled
+   * @param sentNanos monotonic time at which it was sent
    */
-  void checkLater(Instance target, RoutedExchange exchange, long sentNanos) {
-    var unused =
-        loop.schedule(
-            () -> check(target, exchange, sentNanos, crashed -> {}),
-            GIVEN_UP_CALL_DELAY.toMillis(),
-            TimeUnit.MILLISECONDS);
+  void observe(Instance target, RoutedExchange exchange, long sentNanos) {
+    EventLog.log(
+        LogEvent.CALL_ABANDONED, exchange.callerRequestId(), exchange.contentId(), target.id());
+    Observation observation = observations.computeIfAbsent(target, t -> new Observation());
+    var call = new AbandonedCall(exchange.fingerprint(), exchange.sharedPromptParts(), sentNanos);
+    observation.calls.add(call);
+    if (observation.calls.size() == 1) {
+      openWatch(target, observation);
+    }
+    timers.schedule(OBSERVATION_TIME, () -> dropCall(target, call));
+  }
+
+  private void openWatch(Instance target, Observation observation) {
+    observation.watch =
+        ConnectionWatch.open(loop, target.address(), PROBE_TIMEOUT, () -> watchEnded(target));
+  }
+
+  private void watchEnded(Instance target) {
+    Observation observation = observations.get(target);
+    if (observation != null) {
+      observation.watch = null;
+      var unused = probe(target);
+    }
   }
 
-  private void finish(Instance target, ConnectionProbe.Result result) {
+  private void reopenWatch(Instance target) {
+    Observation observation = observations.get(target);
+    if (observation != null && observation.watch == null) {
+      openWatch(target, observation);
+    }
+  }
+
+  private void dropCall(Instance target, AbandonedCall call) {
+    Observation observation = observations.get(target);
+    if (observation != null && observation.calls.remove(call) && observation.calls.isEmpty()) {
+      var unused = endObservation(target);
+    }
+  }
+
+  /** Ends the observation of an upstream and returns the cancelled calls that it may still run. */
+  private List<AbandonedCall> endObservation(Instance target) {
+    Observation observation = observations.remove(target);
+    if (observation == null) {
+      return List.of();
+    }
+    if (observation.watch != null) {
+      observation.watch.close();
+    }
+    return observation.calls;
+  }
+
+  private void probeFinished(Instance target, ConnectionProbe.Result result) {
     boolean crashed = result == ConnectionProbe.Result.REFUSED && !isLeaving(target);
     EventLog.log(LogEvent.UPSTREAM_PROBED, target.id(), result, crashed);
     metrics.countProbe(result, crashed);
-    List<BrokenCall> calls = brokenCalls.remove(target);
-    if (calls == null) {
+    List<BrokenCall> broken = brokenCalls.remove(target);
+    if (broken == null) {
       return;
     }
     if (crashed) {
+      reportCrash(target, broken, endObservation(target));
+    } else {
+      timers.schedule(WATCH_RETRY_INTERVAL, () -> reopenWatch(target));
+    }
+    broken.forEach(c -> c.consumer().accept(crashed));
+  }
+
+  private void reportCrash(
+      Instance target, List<BrokenCall> broken, List<AbandonedCall> abandoned) {
+    List<Fingerprint> running = new ArrayList<>();
+    List<RoutingEvent.AbandonedPrompt> prompts = new ArrayList<>();
+    long lastSentNanos = Long.MIN_VALUE;
+    for (BrokenCall c : broken) {
+      running.add(c.fingerprint());
+      lastSentNanos = Math.max(lastSentNanos, c.sentNanos());
+    }
+    for (AbandonedCall c : abandoned) {
+      running.add(c.fingerprint());
+      prompts.add(new RoutingEvent.AbandonedPrompt(c.sharedPromptParts(), c.sentNanos()));
+      lastSentNanos = Math.max(lastSentNanos, c.sentNanos());
+    }
+    if (!running.isEmpty()) {
       router.accept(
           new RoutingEvent.UpstreamCrashed(
               new UpstreamId(target.id()),
               target.id() + "/" + target.startedMillis(),
-              calls.stream().map(BrokenCall::fingerprint).distinct().toList(),
-              calls.stream().mapToLong(BrokenCall::sentNanos).max().orElseThrow()));
+              running.stream().distinct().toList(),
+              lastSentNanos,
+              prompts));
     }
-    calls.forEach(c -> c.consumer().accept(crashed));
   }
 
   /** Returns whether an upstream announced its end, or has been removed or replaced since. */
--- a/gateway/src/main/java/org/mustardlatch/gateway/EngineCalls.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/EngineCalls.java
@@ -96,6 +96,7 @@
         longest.compareTo(MAX_RESERVATION_TTL) < 0 ? longest : MAX_RESERVATION_TTL;
     sendCall(
         c.attempt(),
+        s,
         target,
         protocol.reservationRequest(target, c.tokens(), timeToLive),
         new ReservationResponseListener(c.attempt(), s, target));
@@ -135,6 +136,7 @@
       s.logStageSent(target, "prefill", c.attempt());
       sendCall(
           c.attempt(),
+          s,
           target,
           s.exchange.toUpstreamRequest(plan),
           new PrefillResponseListener(c.attempt(), s, target));
@@ -165,7 +167,7 @@
         s.exchange
             .toUpstreamRequest(s.callPlan(target, work, reservationId))
             .withMaxResponseBytes(Long.MAX_VALUE);
-    sendCall(c.attempt(), target, request, new DecodeResponseListener(c.attempt(), s, target));
+    sendCall(c.attempt(), s, target, request, new DecodeResponseListener(c.attempt(), s, target));
   }
 
   /** Tells a crash of the engine from other failures of a call that the engine may have got. */
@@ -186,24 +188,24 @@
   }
 
   private void sendCall(
-      AttemptId attempt, Instance target, CallRequest request, CallListener listener) {
+      AttemptId attempt,
+      GenerationStream s,
+      Instance target,
+      CallRequest request,
+      CallListener listener) {
     Call call = fleet.poolFor(target).send(request, listener);
     boolean stage = !(listener instanceof ReservationResponseListener);
-    calls.put(attempt, new ActiveCall(call, target, stage, timers.nanos()));
+    calls.put(attempt, new ActiveCall(call, s.exchange, target, stage, timers.nanos()));
   }
 
-  /**
-   * Cancels the call of an attempt and releases its reservation.
-   *
-   * @param s the request if its caller still waits, otherwise null
-   */
-  void cancel(RoutingCommand.CancelAttempt c, @Nullable GenerationStream s) {
+  /** Cancels the call of an attempt and releases its reservation. */
+  void cancel(RoutingCommand.CancelAttempt c) {
     releaseReservation(c.attempt());
     ActiveCall active = calls.remove(c.attempt());
     if (active != null) {
       active.call.cancel();
-      if (s != null && active.stage) {
-        crashDetector.checkLater(active.target, s.exchange, active.sentNanos);
+      if (active.stage) {
+        crashDetector.observe(active.target, active.exchange, active.sentNanos);
       }
     }
   }
@@ -231,7 +233,8 @@
    * @param stage whether the engine runs a stage of the request, rather than reserving for it
    * @param sentNanos monotonic time at which it was sent
    */
-  private record ActiveCall(Call call, Instance target, boolean stage, long sentNanos) {}
+  private record ActiveCall(
+      Call call, RoutedExchange exchange, Instance target, boolean stage, long sentNanos) {}
 
   /**
    * A reservation at an engine.
--- a/gateway/src/main/java/org/mustardlatch/gateway/GenerationRequestHandler.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/GenerationRequestHandler.java
@@ -89,7 +89,7 @@
     this.settings = settings;
     this.random = random;
     this.eventLoop = eventLoop;
-    this.crashDetector = new CrashDetector(eventLoop, fleet, metrics, this::handle);
+    this.crashDetector = new CrashDetector(eventLoop, timers, fleet, metrics, this::handle);
     this.router = new NodeRouter(settings.host(), settings.region(), incarnation, random);
     this.engineCalls =
         new EngineCalls(fleet, timers, protocol, metrics, crashDetector, this::postEvent);
@@ -146,8 +146,7 @@
         late
             ? timers.nanos() + (long) (LATE_REQUEST_WAIT_FACTOR * target)
             : targetTime + (long) (PREDICTION_SLACK * target);
-    List<Fingerprint> parts =
-        FleetManifest.sharedParts(exchange.service().name(), metadata.promptParts());
+    List<Fingerprint> parts = exchange.sharedPromptParts();
     GenerationRequest request =
         new GenerationRequest(
             new RequestId(exchange.localId()),
@@ -242,8 +241,7 @@
           withStream(c.attempt(), s -> engineCalls.startPrefill(s, c));
       case RoutingCommand.StartDecode c ->
           withStream(c.attempt(), s -> engineCalls.startDecode(s, c));
-      case RoutingCommand.CancelAttempt c ->
-          engineCalls.cancel(c, streams.get(c.attempt().request()));
+      case RoutingCommand.CancelAttempt c -> engineCalls.cancel(c);
       case RoutingCommand.ReleaseKv c -> engineCalls.releaseKv(c.handle());
       case RoutingCommand.Refuse c -> refuse(c);
       case RoutingCommand.Complete c -> complete(c.request());
--- a/gateway/src/main/java/org/mustardlatch/gateway/RoutedExchange.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/RoutedExchange.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import org.jspecify.annotations.Nullable;
 import org.mustardlatch.core.error.ErrorCode;
 import org.mustardlatch.core.model.Fingerprint;
@@ -139,6 +140,11 @@
     return known;
   }
 
+  /** Returns digests of the parts of the prompt that other requests may share. */
+  List<Fingerprint> sharedPromptParts() {
+    return FleetManifest.sharedParts(service.name(), metadata.promptParts());
+  }
+
   /** Returns the start of the fingerprint, which identifies the content in the log. */
   String contentId() {
     return fingerprint().value().substring(0, CONTENT_ID_DIGITS);
--- a/gateway/src/main/java/org/mustardlatch/gateway/log/LogEvent.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/log/LogEvent.java
@@ -69,10 +69,9 @@
   CALLER_CONNECTION_BROKEN(8032, Level.INFO, "caller connection was broken already reason={}"),
   OBJECT_UNREADABLE(8019, Level.WARN, "object kind={} name={} unreadable reason={}"),
   SETTINGS_CHANGED(8029, Level.INFO, "reload requested; settings are read at the next start"),
-  CALL_BROKEN(
-      8034,
-      Level.INFO,
-      "request={} content={} upstream={} probed after its call broke or was given up"),
+  CALL_BROKEN(8034, Level.INFO, "request={} content={} upstream={} probed after its call broke"),
+  CALL_ABANDONED(
+      8039, Level.INFO, "request={} content={} upstream={} observed after its call was cancelled"),
   UPSTREAM_PROBED(8035, Level.INFO, "upstream={} new_connection={} crashed={}"),
   KV_NOT_FREED(8028, Level.WARN, "kv={} upstream={} not freed reason={}");
 
