Report ready only once a node knows what the fleet refuses

What callers saw: in a rolling restart a request, or a prompt part, that the fleet refused since it ends servers reached servers again (BUDGET).

Cause: a node was ready as soon as it had a configuration. Its peers sent it their crash evidence when they saw it join, some 0.4 s later.

Change: a node that starts requests the evidence of up to three others and repeats the request. Each sends what it has, then whether it knows all itself. The node is ready when one that knows has responded, or all have and none knows (all have just started), or after 2 s without that. Until then it answers 503 with Retry-After, as without a configuration.

Ruled out: waiting for the members alone, since evidence arrives after them.

Evidence: RestartedNodeEvidenceTest (processes). EvidenceSyncTest holds the decisions.

--- a/core/src/main/java/org/mustardlatch/core/peer/EvidenceMessage.java
+++ b/core/src/main/java/org/mustardlatch/core/peer/EvidenceMessage.java
@@ -65,6 +65,16 @@
     }
   }
 
+  /** Requests all evidence that the receiver has; its last response is {@link EvidenceSent}. */
+  record EvidenceRequest() implements EvidenceMessage {}
+
+  /**
+   * Reports that the evidence of the sender has been sent.
+   *
+   * @param complete whether the sender knows what the fleet knows; false if it has just started
+   */
+  record EvidenceSent(boolean complete) implements EvidenceMessage {}
+
   /** Reports the first sign that an upstream is leaving. */
   record LeavingNotice(UpstreamId upstream) implements EvidenceMessage {}
 
--- a/core/src/main/java/org/mustardlatch/core/routing/NodeRouter.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/NodeRouter.java
@@ -14,6 +14,8 @@
 import org.mustardlatch.core.peer.AdmissionMessage.ReserveRefused;
 import org.mustardlatch.core.peer.EvidenceMessage;
 import org.mustardlatch.core.peer.EvidenceMessage.CrashReport;
+import org.mustardlatch.core.peer.EvidenceMessage.EvidenceRequest;
+import org.mustardlatch.core.peer.EvidenceMessage.EvidenceSent;
 import org.mustardlatch.core.peer.EvidenceMessage.LeavingNotice;
 import org.mustardlatch.core.peer.EvidenceMessage.PromptCrashReport;
 import org.mustardlatch.core.peer.EvidenceMessage.PromptPartsCleared;
@@ -51,6 +53,7 @@
   private final AdmissionController admissionController;
   private final RequestCoordinator requestCoordinator;
   private final OrphanedAttemptSweeper orphanSweeper;
+  private final EvidenceSync evidenceSync;
   private Topology topology = new Topology(null, List.of());
   private List<Member> members = List.of();
   private long incarnation;
@@ -88,6 +91,7 @@
             region,
             topology);
     this.orphanSweeper = new OrphanedAttemptSweeper(commands, topology);
+    this.evidenceSync = new EvidenceSync(commands);
   }
 
   /**
@@ -112,6 +116,14 @@
     return evidence.size() > 0;
   }
 
+  /**
+   * Returns whether this node has learned since its start what the fleet knows about crashes. Stays
+   * false as long as no other node responds.
+   */
+  public boolean knowsFleetEvidence() {
+    return evidenceSync.isComplete();
+  }
+
   /** Returns the number of requests of this node's callers without a final response. */
   public int openRequests() {
     return requestCoordinator.requestCount();
@@ -227,6 +239,11 @@
       case LeavingNotice m -> unavailableUpstreams.recordRemoteSignal(m.upstream(), commands.now());
       case PromptCrashReport m -> promptPartQuarantine.handle(m);
       case PromptPartsCleared m -> promptPartQuarantine.handle(m);
+      case EvidenceRequest m -> {
+        sendEvidence(from);
+        commands.send(from, new EvidenceSent(evidenceSync.isComplete()));
+      }
+      case EvidenceSent m -> evidenceSync.evidenceReceived(from, m);
       case EvidenceMessage m -> evidenceCoordinator.handle(from, m);
       default -> {
         // Other parts of the node handle the other messages.
@@ -263,15 +280,19 @@
     topologyChanged();
     for (Member m : next) {
       if (isNewStart(before.member(m.host()), m) && isIntroducerOf(m)) {
-        unavailableUpstreams
-            .listActive(commands.now())
-            .forEach(u -> commands.send(m.host(), new LeavingNotice(u)));
-        evidenceCoordinator.sendRecentReports(m.host());
-        promptPartQuarantine.sendCrashes(m.host());
+        sendEvidence(m.host());
       }
     }
   }
 
+  private void sendEvidence(HostId host) {
+    unavailableUpstreams
+        .listActive(commands.now())
+        .forEach(u -> commands.send(host, new LeavingNotice(u)));
+    evidenceCoordinator.sendRecentReports(host);
+    promptPartQuarantine.sendCrashes(host);
+  }
+
   /** Returns whether a member has joined, or has restarted and lost what it was told before. */
   private static boolean isNewStart(@Nullable Member before, Member now) {
     return before == null || before.incarnation() < now.incarnation();
@@ -290,6 +311,7 @@
     orphanSweeper.topologyChanged(topology);
     admissionController.topologyChanged(topology);
     requestCoordinator.topologyChanged(topology);
+    evidenceSync.topologyChanged(topology);
   }
 
   private void timerFired(TimerKey key) {
@@ -310,6 +332,7 @@
     evidenceCoordinator.tick();
     promptPartQuarantine.tick();
     orphanSweeper.tick();
+    evidenceSync.tick();
   }
 
   /** Discards the state that other nodes may have replaced during a long pause, and starts anew. */
--- a/gateway/src/main/java/org/mustardlatch/gateway/Gateway.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/Gateway.java
@@ -39,6 +39,8 @@
   private static final Duration LOAD_BALANCER_REACTION_TIME = Duration.ofMillis(2_800);
   // A new node has received its configuration after a few reads of the store.
   private static final Duration NOT_READY_RETRY_AFTER = Duration.ofMillis(300);
+  // Peers that are alive respond within a few round trips after this node has joined.
+  private static final Duration MAX_EVIDENCE_WAIT = Duration.ofSeconds(2);
   private static final Duration DRAIN_POLL_INTERVAL = Duration.ofMillis(50);
   private static final Duration GRACE_PERIOD_MARGIN = Duration.ofMillis(400);
 
@@ -59,6 +61,7 @@
   private final GatewayMetrics metrics = new GatewayMetrics();
   private boolean draining;
   private boolean wasReady;
+  private boolean evidenceWaitOver;
   private long drainStartNanos;
 
   /** Creates a data path that does not accept connections until {@link #start}. */
@@ -78,6 +81,7 @@
     this.peers = peers;
     fleet.observeResponses(this::upstreamResponded);
     this.random = random;
+    this.evidenceWaitOver = settings.peerAddress() == null;
     this.requestNames = new RequestNames(settings.host(), incarnation);
     this.generationHandler =
         new GenerationRequestHandler(
@@ -117,6 +121,7 @@
   public void start() {
     fleet.onChange(this::onFleetChange);
     generationHandler.startPeers();
+    timers.schedule(MAX_EVIDENCE_WAIT, this::endEvidenceWait);
     callerServer.start();
     readinessServer.start();
     if (metricsServer != null) {
@@ -181,14 +186,30 @@
     drained.await();
   }
 
+  private void endEvidenceWait() {
+    evidenceWaitOver = true;
+    logIfReady();
+  }
+
+  /** Returns whether this node knows what the fleet refuses, or no peer told it in time. */
+  private boolean evidenceKnown() {
+    return evidenceWaitOver || generationHandler.knowsFleetEvidence();
+  }
+
   private boolean ready() {
-    return !draining && fleet.configuration() != null;
+    return !draining && fleet.configuration() != null && evidenceKnown();
   }
 
   private PageServer.Page readiness() {
-    return ready()
-        ? new PageServer.Page(200, "text/plain", "ready\n")
-        : new PageServer.Page(503, "text/plain", draining ? "draining\n" : "no configuration\n");
+    logIfReady();
+    if (ready()) {
+      return new PageServer.Page(200, "text/plain", "ready\n");
+    }
+    String reason =
+        draining
+            ? "draining"
+            : fleet.configuration() == null ? "no configuration" : "waiting for peers";
+    return new PageServer.Page(503, "text/plain", reason + "\n");
   }
 
   private CallerLimits limits() {
@@ -199,9 +220,14 @@
   private void onFleetChange() {
     applicationHandler.onFleetChange();
     generationHandler.onFleetChange();
+    logIfReady();
+  }
+
+  private void logIfReady() {
     if (ready() && !wasReady) {
       wasReady = true;
-      EventLog.log(LogEvent.GATEWAY_READY, fleet.instances().size());
+      EventLog.log(
+          LogEvent.GATEWAY_READY, fleet.instances().size(), generationHandler.knowsFleetEvidence());
     }
   }
 
@@ -212,6 +238,10 @@
       reject(caller, ErrorCode.NOT_READY, "no configuration is known yet");
       return;
     }
+    if (!evidenceKnown()) {
+      reject(caller, ErrorCode.NOT_READY, "it is not known yet which requests crash upstreams");
+      return;
+    }
     String host = caller.head().headers().get(HttpHeaderNames.HOST, "");
     GatewayRoute route = c.findRoute(host, caller.head().uri());
     if (route == null) {
--- a/gateway/src/main/java/org/mustardlatch/gateway/GenerationRequestHandler.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/GenerationRequestHandler.java
@@ -101,6 +101,11 @@
     peers.start(runner::handle);
   }
 
+  /** Returns whether this node knows what the fleet knows about requests that crash upstreams. */
+  boolean knowsFleetEvidence() {
+    return router.knowsFleetEvidence();
+  }
+
   /** Returns the detector that reports crashes of upstreams to the router. */
   CrashDetector crashDetector() {
     return crashDetector;
--- a/gateway/src/main/java/org/mustardlatch/gateway/log/LogEvent.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/log/LogEvent.java
@@ -32,7 +32,7 @@
   UPSTREAM_CALL_BROKEN(6002, Level.WARN, "upstream {} broke off attempt {}: {}"),
   CANCEL_NOT_ACKNOWLEDGED(6003, Level.WARN, "upstream {} did not acknowledge cancel of {}"),
   GATEWAY_LISTENING(8001, Level.INFO, "listening callers={} readiness={}"),
-  GATEWAY_READY(8002, Level.INFO, "ready upstreams={}"),
+  GATEWAY_READY(8002, Level.INFO, "ready upstreams={} knows_crash_evidence={}"),
   STORE_REACHABLE(8010, Level.INFO, "store reachable watch={}"),
   STORE_UNREACHABLE(8011, Level.WARN, "store unreachable watch={} reason={}"),
   STORE_RESTORED(8036, Level.WARN, "store restored from an earlier copy watch={}"),
--- a/wire/src/main/java/org/mustardlatch/wire/EvidenceCodec.java
+++ b/wire/src/main/java/org/mustardlatch/wire/EvidenceCodec.java
@@ -44,6 +44,8 @@
           out.getPromptPartsClearedBuilder()
               .setId(m.id())
               .addAllParts(m.parts().stream().map(EvidenceCodec::fingerprintToBytes).toList());
+      case EvidenceMessage.EvidenceRequest m -> out.getEvidenceRequestBuilder();
+      case EvidenceMessage.EvidenceSent m -> out.getEvidenceSentBuilder().setComplete(m.complete());
       case EvidenceMessage.LeavingNotice m ->
           out.getLeavingNoticeBuilder().setUpstream(m.upstream().value());
     }
@@ -87,6 +89,8 @@
         yield new EvidenceMessage.PromptPartsCleared(
             m.getId(), m.getPartsList().stream().map(PeerCodec::fingerprintFromBytes).toList());
       }
+      case EVIDENCE_REQUEST -> new EvidenceMessage.EvidenceRequest();
+      case EVIDENCE_SENT -> new EvidenceMessage.EvidenceSent(e.getEvidenceSent().getComplete());
       case LEAVING_NOTICE ->
           new EvidenceMessage.LeavingNotice(new UpstreamId(e.getLeavingNotice().getUpstream()));
       default -> throw PeerCodec.unexpectedBody(e);
--- a/wire/src/main/java/org/mustardlatch/wire/PeerCodec.java
+++ b/wire/src/main/java/org/mustardlatch/wire/PeerCodec.java
@@ -50,7 +50,9 @@
           RESERVE_WITHDRAW ->
           AdmissionCodec.decode(envelope);
       case BUDGET_LEASE_REQUEST, BUDGET_LEASE -> BudgetCodec.decode(envelope);
-      case CRASH_REPORT,
+      case EVIDENCE_REQUEST,
+          EVIDENCE_SENT,
+          CRASH_REPORT,
           RUN_REQUEST,
           RUN_ENDED,
           RUN_PERMISSION,
--- a/wire/src/main/java/org/mustardlatch/wire/PeerNode.java
+++ b/wire/src/main/java/org/mustardlatch/wire/PeerNode.java
@@ -293,6 +293,9 @@
       case EvidenceMessage.RunRequest m -> listener.messageReceived(from, senderIncarnation, m);
       case EvidenceMessage.RunEnded m -> listener.messageReceived(from, senderIncarnation, m);
       case EvidenceMessage.RunPermission m -> listener.messageReceived(from, senderIncarnation, m);
+      case EvidenceMessage.EvidenceRequest m ->
+          listener.messageReceived(from, senderIncarnation, m);
+      case EvidenceMessage.EvidenceSent m -> listener.messageReceived(from, senderIncarnation, m);
       case EvidenceMessage.CrashReport m -> forwardAndDeliver(from, senderIncarnation, m);
       case EvidenceMessage.Cleared m -> forwardAndDeliver(from, senderIncarnation, m);
       case EvidenceMessage.PromptCrashReport m -> forwardAndDeliver(from, senderIncarnation, m);
--- a/wire/src/test/java/org/mustardlatch/wire/PeerCodecTest.java
+++ b/wire/src/test/java/org/mustardlatch/wire/PeerCodecTest.java
@@ -74,6 +74,8 @@
                 new EvidenceMessage.PromptCrashReport(
                     UPSTREAM, 5, List.of(new EvidenceMessage.PromptPartRun(FINGERPRINT, 7))),
                 new EvidenceMessage.PromptPartsCleared("h/1", List.of(FINGERPRINT)),
+                new EvidenceMessage.EvidenceRequest(),
+                new EvidenceMessage.EvidenceSent(true),
                 new EvidenceMessage.LeavingNotice(UPSTREAM),
                 new LedgerMessage.LedgerStart(255, "k", "n", "d"),
                 new LedgerMessage.LedgerStarted("k", "n", "FINISHED", "n2", 200, "yes"),
