Test a node of the own interface that restarts while a message is refused

The cause of (a node is ready before it knows what the fleet refuses) was looked for on the own interface too, and is there: a daemon is ready with the manifest of the object service, and finds its peers 1.2 s later. Two engines end after each restart.

Tried and left: waiting for the evidence when other nodes are known at that moment; none is. Waiting in any case would delay each start of a daemon that has no peers by two seconds.

--- a/daemon/src/test/java/org/mustardlatch/daemon/CrashingMessageTest.java
+++ b/daemon/src/test/java/org/mustardlatch/daemon/CrashingMessageTest.java
@@ -22,6 +22,7 @@
   private static final String CRASHING_MESSAGE = "poison";
   private static final int DECODE_ENGINES = 4;
   private static final int CHATS = 16;
+  private static final int RESTARTS = 3;
 
   /** Five crashes and the requests that may reach engines after them. */
   private static final int MAX_CRASHES = 8;
@@ -106,4 +107,22 @@
     }
     assertWithMessage("engines that crashed since").that(restartEngines()).isEqualTo(0);
   }
+
+  @Test
+  void nodeThatRestartsRefusesTheMessageOnceItIsReady() {
+    int crashes = 0;
+    for (int i = 0; i < CHATS; i++) {
+      String unused = chat(fleet.daemon().callerPort(), "style", CRASHING_MESSAGE).body();
+      crashes += restartEngines();
+    }
+    assertThat(crashes).isIn(Range.closed(1, MAX_CRASHES));
+
+    for (int i = 0; i < RESTARTS; i++) {
+      other.stop();
+      other = fleet.startAnother("entry-2", 0);
+      String body = chat(other.callerPort(), "style", CRASHING_MESSAGE).body();
+      assertThat(body).contains("request_quarantined");
+      assertWithMessage("engines that crashed since %s", body).that(restartEngines()).isEqualTo(0);
+    }
+  }
 }
