Keep to the limits that upstreams state on the requests of all nodes

What servers saw: one that states how many requests a second it takes from all nodes together got its usual share of all (LIMIT).

Cause: nothing read the limit. Class of fault: a bound on the sum over all nodes that no node can keep alone.

Change: the limit is read from each answer and told to the other nodes. Engines: the admitting node, which grants each prefill and each decode anyway, grants no more than they take, and the predicted wait of a cell counts it. Applications: one node owns the budget of each upstream and leases units of it for 0.3 s. A request goes to its best upstream without a limit or with a unit; it waits for a lease only if there is none, and is refused with Retry-After when the owners have none. First sends, repeats, second sends and resumptions all pass there. A node that the owner does not answer spends a quarter of its equal share; one that sees fewer nodes than a minute ago, or than its settings name, grants their share only.

Ruled out: equal shares for all nodes, which leave most of the limit unused under uneven load; a backup owner at half the rate, as for workspace rates, with which 4 s can bring 7.2 times the limit (allowed: 6 times and 5 more).

--- a/core/src/main/java/org/mustardlatch/core/balancing/Balancer.java
+++ b/core/src/main/java/org/mustardlatch/core/balancing/Balancer.java
@@ -1,5 +1,6 @@
 package org.mustardlatch.core.balancing;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -53,11 +54,7 @@
       if (attempted.contains(c.id())) {
         continue;
       }
-      double score = predictedResponseNanos(c, now);
-      if (state(c.id()).backoffUntilNanos > now) {
-        // Chosen only if no other candidate is left.
-        score += Long.MAX_VALUE / 2.0;
-      }
+      double score = score(c, now);
       if (score < bestScore) {
         best = c;
         bestScore = score;
@@ -66,6 +63,26 @@
     return best;
   }
 
+  /**
+   * Returns the upstreams that may be used, the one that {@link #choose} returns first.
+   *
+   * @param candidates upstreams that may be used
+   * @param attempted upstreams that already failed this request; left out
+   * @param now monotonic time, nanoseconds
+   */
+  public List<Candidate> rank(List<Candidate> candidates, Set<UpstreamId> attempted, long now) {
+    return candidates.stream()
+        .filter(c -> !attempted.contains(c.id()))
+        .sorted(Comparator.comparingDouble(c -> score(c, now)))
+        .toList();
+  }
+
+  private double score(Candidate c, long now) {
+    double score = predictedResponseNanos(c, now);
+    // An upstream that is avoided is chosen only if no other candidate is left.
+    return state(c.id()).backoffUntilNanos > now ? score + Long.MAX_VALUE / 2.0 : score;
+  }
+
   /** Returns the predicted time from sending a request until its response, nanoseconds. */
   public double predictedResponseNanos(Candidate c, long now) {
     UpstreamState s = state(c.id());
--- a/core/src/main/java/org/mustardlatch/core/budget/LeasedBudget.java
+++ b/core/src/main/java/org/mustardlatch/core/budget/LeasedBudget.java
@@ -7,7 +7,7 @@
  * Leases that a client has of one budget, the spends that wait for a lease, and the state of its
  * lease requests.
  */
-final class LeasedBudget {
+public final class LeasedBudget {
   private static final class Lease {
     double units;
     final long expiresNanos;
@@ -42,7 +42,13 @@
 
   long backupSinceNanos;
 
-  LeasedBudget(long windowNanos, long now) {
+  /**
+   * Creates a budget without leases.
+   *
+   * @param windowNanos length of the windows in which demand is counted, nanoseconds
+   * @param now monotonic time, nanoseconds
+   */
+  public LeasedBudget(long windowNanos, long now) {
     this.windowNanos = windowNanos;
     this.windowStartNanos = now;
   }
@@ -60,7 +66,25 @@
     return false;
   }
 
-  void addLease(double units, long validNanos, long now) {
+  /**
+   * Spends one unit if one is leased.
+   *
+   * @param isNewDemand whether the call is the first one for what the unit is needed for
+   * @param now monotonic time, nanoseconds
+   * @return whether a unit was spent
+   */
+  public boolean trySpend(boolean isNewDemand, long now) {
+    recordDemand(isNewDemand ? 1 : 0, now);
+    return tryAcquire(1, now);
+  }
+
+  /**
+   * Adds a lease.
+   *
+   * @param validNanos time for which it may be spent, nanoseconds
+   * @param now monotonic time, nanoseconds
+   */
+  public void addLease(double units, long validNanos, long now) {
     windowNanos = Math.max(1, validNanos);
     leases.addLast(new Lease(units, now + validNanos));
   }
@@ -95,8 +119,12 @@
     return Math.max(previousDemand, currentDemand);
   }
 
-  /** Returns the units to request; 0 if enough are leased. */
-  double unitsToRequest(long now) {
+  /**
+   * Returns the units to request; 0 if enough are leased.
+   *
+   * @param now monotonic time, nanoseconds
+   */
+  public double unitsToRequest(long now) {
     double waitingUnits = waitingSpends.stream().mapToDouble(WaitingSpend::units).sum();
     double available = availableUnits(now);
     double expectedUnits = expectedUnits(now);
--- a/core/src/main/java/org/mustardlatch/core/budget/OwnedBudget.java
+++ b/core/src/main/java/org/mustardlatch/core/budget/OwnedBudget.java
@@ -9,7 +9,7 @@
  * Token bucket of one budget. Its tokens are the units of the budget; they are leased to clients
  * and shared by max-min fairness.
  */
-final class OwnedBudget {
+public final class OwnedBudget {
   private record Demand(double units, long requestedNanos) {}
 
   private final Map<HostId, Demand> demands = new HashMap<>();
@@ -18,19 +18,43 @@
   private long refilledNanos;
   private long halfRateUntilNanos;
 
-  /** Creates a half-full bucket, because leases of the previous owner may still be spent. */
-  OwnedBudget(BudgetTerms terms, long now) {
+  /**
+   * Creates a half-full bucket, because leases of the previous owner may still be spent.
+   *
+   * @param now monotonic time, nanoseconds
+   */
+  public OwnedBudget(BudgetTerms terms, long now) {
     this.terms = terms;
     this.tokens = terms.capacity() / 2;
     this.refilledNanos = now;
     this.halfRateUntilNanos = now + terms.leaseTime().toNanos();
   }
 
+  /**
+   * Changes the terms.
+   *
+   * @param now monotonic time, nanoseconds; the earlier terms hold for the time before
+   */
+  public void setTerms(BudgetTerms newTerms, long now) {
+    refill(now);
+    setTerms(newTerms);
+  }
+
   void setTerms(BudgetTerms newTerms) {
     terms = newTerms;
     tokens = Math.min(tokens, newTerms.capacity());
   }
 
+  /**
+   * Returns the units that may be granted.
+   *
+   * @param now monotonic time, nanoseconds
+   */
+  public double availableUnits(long now) {
+    refill(now);
+    return tokens;
+  }
+
   /**
    * Halves the rate for one lease time from now, because another node may still grant from this
    * budget.
@@ -39,8 +63,23 @@
     halfRateUntilNanos = now + terms.leaseTime().toNanos();
   }
 
-  /** Returns the units granted; 0, or at least the lesser of 1 and the requested units. */
-  double grant(HostId from, double requestedUnits, long now) {
+  /**
+   * Returns the demand of all clients within the last two lease times, as a multiple of that of one
+   * client, which has requested units.
+   */
+  public double relativeDemand(HostId client) {
+    double total = demands.values().stream().mapToDouble(Demand::units).sum();
+    Demand own = demands.get(client);
+    return own == null || own.units() <= 0 ? 1 : total / own.units();
+  }
+
+  /**
+   * Grants units to a client.
+   *
+   * @param now monotonic time, nanoseconds
+   * @return the units granted; 0, or at least the lesser of 1 and the requested units
+   */
+  public double grant(HostId from, double requestedUnits, long now) {
     refill(now);
     demands.put(from, new Demand(requestedUnits, now));
     dropStaleDemands(now);
--- a/core/src/main/java/org/mustardlatch/core/peer/EvidenceMessage.java
+++ b/core/src/main/java/org/mustardlatch/core/peer/EvidenceMessage.java
@@ -1,10 +1,14 @@
 package org.mustardlatch.core.peer;
 
 import java.util.List;
+import java.util.OptionalDouble;
 import org.mustardlatch.core.model.Fingerprint;
 import org.mustardlatch.core.model.UpstreamId;
 
-/** Messages about requests that crash engines, and about leaving (draining) upstreams. */
+/**
+ * Messages about requests that crash engines, and about upstreams that are leaving (draining) or
+ * limit their requests.
+ */
 public sealed interface EvidenceMessage extends PeerMessage {
   /** Reports that an engine crashed while it ran these requests. */
   record CrashReport(UpstreamId upstream, String crashId, List<Fingerprint> running)
@@ -78,6 +82,15 @@
   /** Reports the first sign that an upstream is leaving. */
   record LeavingNotice(UpstreamId upstream) implements EvidenceMessage {}
 
+  /**
+   * Reports the limit that an upstream states on the requests of all nodes together.
+   *
+   * @param requestsPerSecond the limit; empty if the upstream no longer states one
+   * @param ageNanos time since the upstream stated it
+   */
+  record RateLimitNotice(UpstreamId upstream, OptionalDouble requestsPerSecond, long ageNanos)
+      implements EvidenceMessage {}
+
   /** Decision on whether a suspect may run. */
   enum Verdict {
     RUN,
--- a/core/src/main/java/org/mustardlatch/core/routing/CellAdmission.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/CellAdmission.java
@@ -62,7 +62,8 @@
       CommandCollector commands,
       RandomGenerator random,
       CrashEvidence evidence,
-      NodeSettings settings) {}
+      NodeSettings settings,
+      UpstreamLimits upstreamLimits) {}
 
   /** Receives the engine crashes that a cell detects. */
   interface CrashListener {
@@ -87,6 +88,7 @@
   private final DepartureRate departureRate = new DepartureRate();
   private Placer placer;
   private final UnavailableUpstreams unavailableUpstreams;
+  private final UpstreamLimits upstreamLimits;
   private final long handoverUntilNanos;
   private @Nullable CellSummary summary;
   private long summaryComputedNanos;
@@ -106,6 +108,7 @@
     this.retryAfterJitter = new RetryAfterJitter(env.random());
     this.crashListener = crashListener;
     this.unavailableUpstreams = unavailableUpstreams;
+    this.upstreamLimits = env.upstreamLimits();
     this.placer = createPlacer(cell);
     this.handoverUntilNanos = commands.now() + HANDOVER_NANOS;
     this.lastActivityNanos = commands.now();
@@ -293,7 +296,7 @@
       }
       engines.put(u.id(), e);
     }
-    return new Placer(next, engines.values(), unavailableUpstreams);
+    return new Placer(next, engines.values(), unavailableUpstreams, upstreamLimits);
   }
 
   /** Drops reservations and queued requests of nodes that are dead or removed. */
@@ -430,6 +433,7 @@
       reserveSlot(prefill, r, prefill == p.decodeEngine() ? r.decodePieces : r.prefillPieces);
       r.prefillEngine = prefill;
       r.kvSource = prefill.upstream.id();
+      upstreamLimits.started(prefill.upstream.id());
       prefill.prefixIndex.add(request.prefixBlocks());
       prefill.prefillGranted(r, now);
       if (placer.isProbe(prefill, now)) {
@@ -440,6 +444,7 @@
       r.kvSource = request.kvSource();
     }
     if (p.decodeEngine() != prefill) {
+      upstreamLimits.started(p.decodeEngine().upstream.id());
       reserveSlot(p.decodeEngine(), r, r.decodePieces);
     }
     r.decodeEngine = p.decodeEngine();
@@ -651,7 +656,8 @@
     if (rate <= 0 || next == Long.MAX_VALUE) {
       return Long.MAX_VALUE / 4;
     }
-    long prefillWait = next + (long) (tokens / rate);
+    long permittedWait = placer.nanosUntilPermitted(queue.size(), now);
+    long prefillWait = Math.max(permittedWait, next + (long) (tokens / rate));
     int missingSlots = queue.size() + 1 - freeDecodeCapacity();
     if (missingSlots <= 0) {
       return prefillWait;
--- a/core/src/main/java/org/mustardlatch/core/routing/NodeRouter.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/NodeRouter.java
@@ -12,6 +12,8 @@
 import org.mustardlatch.core.peer.AdmissionMessage.ReserveGranted;
 import org.mustardlatch.core.peer.AdmissionMessage.ReserveQueued;
 import org.mustardlatch.core.peer.AdmissionMessage.ReserveRefused;
+import org.mustardlatch.core.peer.BudgetMessage.BudgetLease;
+import org.mustardlatch.core.peer.BudgetMessage.BudgetLeaseRequest;
 import org.mustardlatch.core.peer.EvidenceMessage;
 import org.mustardlatch.core.peer.EvidenceMessage.CrashReport;
 import org.mustardlatch.core.peer.EvidenceMessage.EvidenceRequest;
@@ -19,6 +21,7 @@
 import org.mustardlatch.core.peer.EvidenceMessage.LeavingNotice;
 import org.mustardlatch.core.peer.EvidenceMessage.PromptCrashReport;
 import org.mustardlatch.core.peer.EvidenceMessage.PromptPartsCleared;
+import org.mustardlatch.core.peer.EvidenceMessage.RateLimitNotice;
 import org.mustardlatch.core.peer.EvidenceMessage.RunPermission;
 import org.mustardlatch.core.peer.EvidenceMessage.Verdict;
 import org.mustardlatch.core.peer.PeerMessage;
@@ -35,6 +38,9 @@
  * same commands. Not thread-safe.
  */
 public final class NodeRouter implements RoutingPolicy {
+  /** Prefix of the names of budgets of upstreams; the router handles messages about them. */
+  public static final String UPSTREAM_BUDGET_PREFIX = ApplicationStarts.BUDGET_PREFIX;
+
   private static final String TICK_TIMER = "tick";
   private static final String CELL_TIMER = "cell";
   // More than one, because an introducer may itself have just joined or be about to fail.
@@ -54,6 +60,8 @@
   private final RequestCoordinator requestCoordinator;
   private final OrphanedAttemptSweeper orphanSweeper;
   private final EvidenceSync evidenceSync;
+  private final UpstreamLimits upstreamLimits;
+  private final ApplicationStarts applicationStarts;
   private Topology topology = new Topology(null, List.of());
   private List<Member> members = List.of();
   private long incarnation;
@@ -73,7 +81,10 @@
     }
     this.incarnation = incarnation;
     this.commands = new CommandCollector(self);
-    var environment = new CellAdmission.Environment(commands, random, evidence, settings);
+    this.upstreamLimits = new UpstreamLimits(commands);
+    this.applicationStarts = new ApplicationStarts(commands, upstreamLimits, topology);
+    var environment =
+        new CellAdmission.Environment(commands, random, evidence, settings, upstreamLimits);
     this.evidenceCoordinator =
         new CrashEvidenceCoordinator(commands, evidence, promptPartEvidence, topology, incarnation);
     this.promptPartQuarantine =
@@ -116,6 +127,27 @@
     return evidence.size() > 0;
   }
 
+  /**
+   * Sets the number of nodes that the settings of this node name, itself included. As long as it
+   * sees fewer, it may be cut off from the others.
+   */
+  public void expectNodes(int count) {
+    upstreamLimits.expectNodes(count);
+  }
+
+  /**
+   * Returns whether any upstream states a limit on its requests. If not, application requests may
+   * be sent without {@link RoutingEvent.ApplicationStartRequested}.
+   */
+  public boolean hasUpstreamLimits() {
+    return upstreamLimits.any();
+  }
+
+  /** Returns whether an upstream states a limit on its requests, as far as this node knows. */
+  public boolean isLimited(UpstreamId upstream) {
+    return upstreamLimits.isLimited(upstream);
+  }
+
   /**
    * Returns whether this node has learned since its start what the fleet knows about crashes. Stays
    * false as long as no other node responds.
@@ -185,6 +217,10 @@
       case RoutingEvent.UpstreamLeaving e -> upstreamLeaving(e.upstream());
       case RoutingEvent.UpstreamPaused e ->
           unavailableUpstreams.pause(e.upstream(), commands.now() + e.duration().toNanos());
+      case RoutingEvent.UpstreamLimitStated e ->
+          upstreamLimits.stated(e.upstream(), e.requestsPerSecond());
+      case RoutingEvent.ApplicationStartRequested e ->
+          applicationStarts.startRequested(e.request(), e.candidates());
       case RoutingEvent.TimerFired e -> timerFired(e.key());
       case RoutingEvent.ApplicationRunRequested e -> decideRun(e);
       case RoutingEvent.ApplicationRunEnded e ->
@@ -239,6 +275,9 @@
       case LeavingNotice m -> unavailableUpstreams.recordRemoteSignal(m.upstream(), commands.now());
       case PromptCrashReport m -> promptPartQuarantine.handle(m);
       case PromptPartsCleared m -> promptPartQuarantine.handle(m);
+      case RateLimitNotice m -> upstreamLimits.handle(m);
+      case BudgetLeaseRequest m -> applicationStarts.leaseRequested(from, m);
+      case BudgetLease m -> applicationStarts.leaseReceived(m);
       case EvidenceRequest m -> {
         sendEvidence(from);
         commands.send(from, new EvidenceSent(evidenceSync.isComplete()));
@@ -312,12 +351,15 @@
     admissionController.topologyChanged(topology);
     requestCoordinator.topologyChanged(topology);
     evidenceSync.topologyChanged(topology);
+    upstreamLimits.topologyChanged(topology);
+    applicationStarts.topologyChanged(topology);
   }
 
   private void timerFired(TimerKey key) {
     switch (key.kind()) {
       case TICK_TIMER -> tick();
       case CELL_TIMER -> admissionController.tick(key.subject());
+      case ApplicationStarts.TIMER_KIND -> applicationStarts.timerFired(key.subject());
       case RunPermissionClient.TIMER_KIND -> permissionClient.timerFired(key.subject());
       case RequestCoordinator.TIMER_KIND -> requestCoordinator.timerFired(key.subject());
       default -> throw new IllegalArgumentException("unknown timer " + key);
@@ -333,6 +375,8 @@
     promptPartQuarantine.tick();
     orphanSweeper.tick();
     evidenceSync.tick();
+    upstreamLimits.tick(evidenceCoordinator);
+    applicationStarts.tick();
   }
 
   /** Discards the state that other nodes may have replaced during a long pause, and starts anew. */
--- a/core/src/main/java/org/mustardlatch/core/routing/Placer.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/Placer.java
@@ -37,6 +37,7 @@
   private final Cell cell;
   private final int pieceTokens;
   private final UnavailableUpstreams unavailableUpstreams;
+  private final UpstreamLimits upstreamLimits;
   private final List<EngineState> prefillEngines = new ArrayList<>();
   private final List<EngineState> decodeEngines = new ArrayList<>();
   private double medianPrefillSlowdown = 1;
@@ -59,7 +60,12 @@
       long prefillEndNanos,
       long firstTokenNanos) {}
 
-  Placer(Cell cell, Iterable<EngineState> engines, UnavailableUpstreams unavailableUpstreams) {
+  Placer(
+      Cell cell,
+      Iterable<EngineState> engines,
+      UnavailableUpstreams unavailableUpstreams,
+      UpstreamLimits upstreamLimits) {
+    this.upstreamLimits = upstreamLimits;
     this.cell = cell;
     this.pieceTokens = cell.model().memoryPieceTokens();
     this.unavailableUpstreams = unavailableUpstreams;
@@ -224,7 +230,8 @@
     }
     if (e.freeSlots() == 0
         || !e.hasFreeMemory(request.prefillMemoryPieces(pieceTokens))
-        || (suspect && e.suspectCount > 0)) {
+        || (suspect && e.suspectCount > 0)
+        || !upstreamLimits.mayStart(e.upstream.id())) {
       return false;
     }
     return e.prefillBacklogNanos(now) <= LOOKAHEAD_NANOS;
@@ -281,7 +288,8 @@
       int free = handover ? e.freeSlotsInHandover() : e.freeSlots();
       if (free <= 0
           || !e.hasFreeMemory(request.decodeMemoryPieces(pieceTokens))
-          || (suspect && e.suspectCount > 0)) {
+          || (suspect && e.suspectCount > 0)
+          || (e != prefill && !upstreamLimits.mayStart(e.upstream.id()))) {
         continue;
       }
       double slowdown = relativeDecodeSlowdown(e);
@@ -466,6 +474,33 @@
     return best;
   }
 
+  /**
+   * Returns the time until the limits that engines state permit another request, nanoseconds; 0 if
+   * some engines of each stage state none.
+   *
+   * @param queued requests that come before it
+   */
+  long nanosUntilPermitted(int queued, long now) {
+    return Math.max(
+        nanosUntilPermitted(prefillEngines, queued, now),
+        nanosUntilPermitted(decodeEngines, queued, now));
+  }
+
+  private long nanosUntilPermitted(List<EngineState> engines, int queued, long now) {
+    double units = 0;
+    double perSecond = 0;
+    for (EngineState e : engines) {
+      if (e.isUsableSoon(unavailableUpstreams, now)) {
+        if (!upstreamLimits.isLimited(e.upstream.id())) {
+          return 0;
+        }
+        units += upstreamLimits.availableUnits(e.upstream.id());
+        perSecond += upstreamLimits.grantedPerSecond(e.upstream.id()).orElse(0);
+      }
+    }
+    return perSecond == 0 ? 0 : (long) Math.max(0, (queued + 1 - units) / perSecond * 1e9);
+  }
+
   /** Returns how many more requests of {@code pieces} of KV memory the decode engines can take. */
   int freeDecodeCapacity(int pieces, long now) {
     int sum = 0;
--- a/core/src/main/java/org/mustardlatch/core/routing/RoutingCommand.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/RoutingCommand.java
@@ -1,6 +1,7 @@
 package org.mustardlatch.core.routing;
 
 import java.time.Duration;
+import org.jspecify.annotations.Nullable;
 import org.mustardlatch.core.error.ErrorCode;
 import org.mustardlatch.core.model.AttemptId;
 import org.mustardlatch.core.model.HostId;
@@ -63,6 +64,14 @@
   record DecideApplicationRun(RequestId request, Verdict verdict, boolean suspect)
       implements RoutingCommand {}
 
+  /**
+   * Send an application request to an upstream.
+   *
+   * @param upstream null if all upstreams get as many requests as they take
+   */
+  record DecideApplicationStart(RequestId request, @Nullable UpstreamId upstream)
+      implements RoutingCommand {}
+
   /** End the caller's stream successfully. */
   record Complete(RequestId request) implements RoutingCommand {}
 
--- a/core/src/main/java/org/mustardlatch/core/routing/RoutingEvent.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/RoutingEvent.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.OptionalDouble;
 import org.mustardlatch.core.manifest.Manifest;
 import org.mustardlatch.core.model.AttemptId;
 import org.mustardlatch.core.model.Fingerprint;
@@ -136,6 +137,29 @@
   /** An upstream refused a request of this node and wants no more from it for some time. */
   record UpstreamPaused(UpstreamId upstream, Duration duration) implements RoutingEvent {}
 
+  /**
+   * An upstream stated in an answer to this node how many requests it takes from all nodes
+   * together.
+   *
+   * @param requestsPerSecond the limit, at least 0; empty if it states none
+   */
+  record UpstreamLimitStated(UpstreamId upstream, OptionalDouble requestsPerSecond)
+      implements RoutingEvent {}
+
+  /**
+   * An application request is about to be sent while upstreams state limits. Answered by {@link
+   * RoutingCommand.DecideApplicationStart}.
+   *
+   * @param candidates upstreams that it may be sent to, the most preferred one first
+   */
+  record ApplicationStartRequested(RequestId request, List<UpstreamId> candidates)
+      implements RoutingEvent {
+    /** Copies the list. */
+    public ApplicationStartRequested {
+      candidates = List.copyOf(candidates);
+    }
+  }
+
   /** A timer that was set by {@link RoutingCommand.SetTimer} fired. */
   record TimerFired(TimerKey key) implements RoutingEvent {}
 
--- a/core/src/test/java/org/mustardlatch/core/routing/FleetSimulation.java
+++ b/core/src/test/java/org/mustardlatch/core/routing/FleetSimulation.java
@@ -277,6 +277,7 @@
       case RoutingCommand.Refuse c -> recordFinalResponse(c.request(), c);
       case RoutingCommand.Complete c -> recordFinalResponse(c.request(), c);
       case RoutingCommand.DecideApplicationRun c -> throw new IllegalStateException("" + c);
+      case RoutingCommand.DecideApplicationStart c -> throw new IllegalStateException("" + c);
       case RoutingCommand.SetTimer c -> {
         long version = ++node.lastTimerVersion;
         node.timerVersions.put(c.key(), version);
--- a/core/src/test/java/org/mustardlatch/core/routing/PlacerTest.java
+++ b/core/src/test/java/org/mustardlatch/core/routing/PlacerTest.java
@@ -35,7 +35,8 @@
               Fixtures.OSLO,
               Stream.of(prefillEngine, firstDecode, secondDecode).map(e -> e.upstream).toList()),
           List.of(prefillEngine, firstDecode, secondDecode),
-          new UnavailableUpstreams());
+          new UnavailableUpstreams(),
+          new UpstreamLimits(new CommandCollector(Fixtures.host(0))));
 
   PlacerTest() {
     transferLimiter.recordTransfer(KV_BYTES, TRANSFER_NANOS, NOW - SECOND);
--- a/daemon/src/main/java/org/mustardlatch/daemon/routing/RoutingService.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/routing/RoutingService.java
@@ -92,6 +92,8 @@
           removeExchange(c.request()).ifPresent(e -> e.sink().complete());
       case RoutingCommand.DecideApplicationRun c ->
           throw new IllegalStateException("no application request asked for a decision: " + c);
+      case RoutingCommand.DecideApplicationStart c ->
+          throw new IllegalStateException("no application request asked for a decision: " + c);
       case RoutingCommand.SetTimer c ->
           throw new IllegalStateException("timer commands are handled by the policy runner: " + c);
       case RoutingCommand.CancelTimer c ->
--- a/gateway/src/main/java/org/mustardlatch/gateway/ApplicationRequestHandler.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/ApplicationRequestHandler.java
@@ -57,6 +57,7 @@
   private final CrashDetector crashDetector;
   private final RunDecisions runDecisions;
   private final Map<RequestId, ActiveRequest> awaitingDecision = new HashMap<>();
+  private final Map<RequestId, ActiveRequest> awaitingStart = new HashMap<>();
   private final IntSupplier liveNodeCount;
 
   ApplicationRequestHandler(
@@ -79,7 +80,7 @@
     this.protocol = protocol;
     this.random = random;
     this.networkLatency = new NetworkLatencyEstimates(settings);
-    runDecisions.onDecision(this::runDecided);
+    runDecisions.onDecision(this::runDecided, this::startDecided);
   }
 
   /** Returns the number of requests in progress. */
@@ -131,6 +132,13 @@
     }
   }
 
+  private void startDecided(RoutingCommand.DecideApplicationStart decision) {
+    ActiveRequest request = awaitingStart.remove(decision.request());
+    if (request != null) {
+      request.startDecided(decision.upstream());
+    }
+  }
+
   /** A caller's request and its attempts on one or more upstreams. */
   private final class ActiveRequest {
     private final RoutedExchange exchange;
@@ -208,11 +216,48 @@
 
     /**
      * Sends the request to the upstream with the shortest predicted response time among those not
-     * attempted yet.
+     * attempted yet that take another request.
      */
     private void sendToNextUpstream() {
       long now = timers.nanos();
-      Candidate c = balancer.choose(candidates(this), attemptedUpstreams, now);
+      if (runDecisions.startRequired()) {
+        requestStart(balancer.rank(candidates(this), attemptedUpstreams, now));
+      } else {
+        sendTo(balancer.choose(candidates(this), attemptedUpstreams, now));
+      }
+    }
+
+    /** Has the router choose an upstream, some of which limit the requests of all nodes. */
+    private void requestStart(List<Candidate> ranked) {
+      if (ranked.isEmpty()) {
+        sendTo(null);
+        return;
+      }
+      RequestId id = new RequestId(exchange.localId());
+      awaitingStart.put(id, this);
+      runDecisions.handle(
+          new RoutingEvent.ApplicationStartRequested(
+              id, ranked.stream().map(Candidate::id).toList()));
+    }
+
+    private void startDecided(@Nullable UpstreamId upstream) {
+      if (upstream == null) {
+        failIfNoActiveAttempt(
+            ErrorCode.OVERLOADED, "all upstreams get as many requests as they take");
+        return;
+      }
+      // The upstream may have left since the router was asked.
+      Candidate chosen =
+          candidates(this).stream().filter(c -> c.id().equals(upstream)).findFirst().orElse(null);
+      if (chosen == null) {
+        sendToNextUpstream();
+      } else {
+        sendTo(chosen);
+      }
+    }
+
+    private void sendTo(@Nullable Candidate c) {
+      long now = timers.nanos();
       Instance target = c == null ? null : fleet.instance(c.id().value());
       if (c == null || target == null) {
         failIfNoActiveAttempt(ErrorCode.UPSTREAM_UNAVAILABLE, "no upstream left");
@@ -289,6 +334,7 @@
       closed = true;
       activeRequests.remove(exchange.caller());
       RequestId id = new RequestId(exchange.localId());
+      awaitingStart.remove(id);
       if (awaitingDecision.remove(id) != null || suspect) {
         boolean abandoned = activeAttempts.stream().anyMatch(a -> a.sent);
         runDecisions.handle(
--- a/gateway/src/main/java/org/mustardlatch/gateway/Gateway.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/Gateway.java
@@ -136,6 +136,10 @@
     if (metadata.leaving()) {
       timers.schedule(Duration.ZERO, () -> fleet.upstreamLeaving(target));
     }
+    // Only answers to requests tell that an upstream no longer states a limit.
+    if (metadata.requestsPerSecond().isPresent() || metadata.requestId() != null) {
+      generationHandler.limitStated(new UpstreamId(target.id()), metadata.requestsPerSecond());
+    }
     Duration pause = metadata.pause();
     if (pause != null) {
       EventLog.log(LogEvent.UPSTREAM_PAUSED, target.id(), pause.toMillis());
--- a/gateway/src/main/java/org/mustardlatch/gateway/GenerationRequestHandler.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/GenerationRequestHandler.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
@@ -12,6 +13,7 @@
 import org.mustardlatch.core.model.Fingerprint;
 import org.mustardlatch.core.model.ModelId;
 import org.mustardlatch.core.model.RequestId;
+import org.mustardlatch.core.model.UpstreamId;
 import org.mustardlatch.core.model.WorkspaceId;
 import org.mustardlatch.core.routing.GenerationRequest;
 import org.mustardlatch.core.routing.NodeRouter;
@@ -71,6 +73,7 @@
   private double averageLengthHint;
   private long manifestRevision;
   private Consumer<RoutingCommand.DecideApplicationRun> applicationDecisions = c -> {};
+  private Consumer<RoutingCommand.DecideApplicationStart> applicationStarts = c -> {};
 
   GenerationRequestHandler(
       FleetState fleet,
@@ -91,6 +94,7 @@
     this.eventLoop = eventLoop;
     this.crashDetector = new CrashDetector(eventLoop, timers, fleet, metrics, this::handle);
     this.router = new NodeRouter(settings.host(), settings.region(), incarnation, random);
+    router.expectNodes(settings.peerSeeds().size());
     this.engineCalls =
         new EngineCalls(fleet, timers, protocol, metrics, crashDetector, this::postEvent);
     this.runner = new PolicyRunner(timers, router, this::executeCommand);
@@ -122,8 +126,23 @@
   }
 
   @Override
-  public void onDecision(Consumer<RoutingCommand.DecideApplicationRun> receiver) {
-    applicationDecisions = receiver;
+  public boolean startRequired() {
+    return router.hasUpstreamLimits();
+  }
+
+  @Override
+  public void onDecision(
+      Consumer<RoutingCommand.DecideApplicationRun> runReceiver,
+      Consumer<RoutingCommand.DecideApplicationStart> startReceiver) {
+    applicationDecisions = runReceiver;
+    applicationStarts = startReceiver;
+  }
+
+  /** Records what an upstream states in an answer about the requests that it takes. */
+  void limitStated(UpstreamId upstream, OptionalDouble requestsPerSecond) {
+    if (requestsPerSecond.isPresent() || router.isLimited(upstream)) {
+      postEvent(new RoutingEvent.UpstreamLimitStated(upstream, requestsPerSecond));
+    }
   }
 
   /** Returns the number of requests in progress. */
@@ -257,6 +276,8 @@
       }
       case RoutingCommand.DecideApplicationRun c ->
           eventLoop.execute(() -> applicationDecisions.accept(c));
+      case RoutingCommand.DecideApplicationStart c ->
+          eventLoop.execute(() -> applicationStarts.accept(c));
       case RoutingCommand.SetTimer c ->
           throw new IllegalStateException("timer command not handled by PolicyRunner: " + c);
       case RoutingCommand.CancelTimer c ->
--- a/gateway/src/main/java/org/mustardlatch/gateway/ResponseMetadata.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/ResponseMetadata.java
@@ -1,6 +1,7 @@
 package org.mustardlatch.gateway;
 
 import java.time.Duration;
+import java.util.OptionalDouble;
 import org.jspecify.annotations.Nullable;
 import org.mustardlatch.core.balancing.UpstreamLoad;
 
@@ -14,6 +15,8 @@
  * @param leaving whether the upstream states that it is leaving
  * @param pause time for which the upstream, which refused the request, wants no more from this
  *     node; null if not stated
+ * @param requestsPerSecond requests that the upstream takes from all nodes together; empty if it
+ *     states no limit
  */
 public record ResponseMetadata(
     @Nullable String requestId,
@@ -21,4 +24,5 @@
     boolean hasUpstreamStamp,
     @Nullable UpstreamLoad load,
     boolean leaving,
-    @Nullable Duration pause) {}
+    @Nullable Duration pause,
+    OptionalDouble requestsPerSecond) {}
--- a/gateway/src/main/java/org/mustardlatch/gateway/node/NetworkPeers.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/node/NetworkPeers.java
@@ -9,6 +9,7 @@
 import org.mustardlatch.core.membership.MemberList;
 import org.mustardlatch.core.model.HostId;
 import org.mustardlatch.core.peer.AdmissionMessage;
+import org.mustardlatch.core.peer.BudgetMessage;
 import org.mustardlatch.core.peer.EvidenceMessage;
 import org.mustardlatch.core.peer.PeerMessage;
 import org.mustardlatch.core.routing.Member;
@@ -135,6 +136,7 @@
     switch (message) {
       case AdmissionMessage m -> post(new RoutingEvent.PeerMessageReceived(from, m));
       case EvidenceMessage m -> post(new RoutingEvent.PeerMessageReceived(from, m));
+      case BudgetMessage m -> post(new RoutingEvent.PeerMessageReceived(from, m));
       default -> {
         // The peer node itself handles all other messages.
       }
--- a/gateway/src/test/java/org/mustardlatch/gateway/TestProtocol.java
+++ b/gateway/src/test/java/org/mustardlatch/gateway/TestProtocol.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.OptionalDouble;
 import org.mustardlatch.gateway.config.Instance;
 import org.mustardlatch.gateway.http.CallRequest;
 
@@ -46,7 +47,13 @@
   public ResponseMetadata readResponse(HttpResponse response) {
     HttpHeaders h = response.headers();
     return new ResponseMetadata(
-        h.get("Id"), h.contains("Not-Run"), h.contains("Mark"), null, false, null);
+        h.get("Id"),
+        h.contains("Not-Run"),
+        h.contains("Mark"),
+        null,
+        false,
+        null,
+        OptionalDouble.empty());
   }
 
   @Override
--- a/replay/src/main/java/org/mustardlatch/replay/BaselinePolicy.java
+++ b/replay/src/main/java/org/mustardlatch/replay/BaselinePolicy.java
@@ -76,6 +76,8 @@
       case RoutingEvent.DecodeStarted e -> {}
       case RoutingEvent.UpstreamCrashed e -> {}
       case RoutingEvent.ApplicationRunRequested e -> {}
+      case RoutingEvent.ApplicationStartRequested e -> {}
+      case RoutingEvent.UpstreamLimitStated e -> {}
       case RoutingEvent.ApplicationRunEnded e -> {}
       case RoutingEvent.ApplicationRunCompleted e -> {}
       case RoutingEvent.EngineReserved e -> {}
--- a/replay/src/main/java/org/mustardlatch/replay/Dispatcher.java
+++ b/replay/src/main/java/org/mustardlatch/replay/Dispatcher.java
@@ -71,6 +71,8 @@
       case RoutingCommand.Explain c -> rules.merge(c.rule(), 1, Integer::sum);
       case RoutingCommand.DecideApplicationRun c ->
           throw new IllegalArgumentException("application request " + c.request());
+      case RoutingCommand.DecideApplicationStart c ->
+          throw new IllegalArgumentException("application request " + c.request());
       case RoutingCommand.SetTimer c -> throw new IllegalArgumentException("timer " + c.key());
       case RoutingCommand.CancelTimer c -> throw new IllegalArgumentException("timer " + c.key());
     }
--- a/wire/src/main/java/org/mustardlatch/wire/EvidenceCodec.java
+++ b/wire/src/main/java/org/mustardlatch/wire/EvidenceCodec.java
@@ -1,6 +1,7 @@
 package org.mustardlatch.wire;
 
 import com.google.protobuf.ByteString;
+import java.util.OptionalDouble;
 import org.mustardlatch.core.model.Fingerprint;
 import org.mustardlatch.core.model.UpstreamId;
 import org.mustardlatch.core.peer.EvidenceMessage;
@@ -46,6 +47,13 @@
               .addAllParts(m.parts().stream().map(EvidenceCodec::fingerprintToBytes).toList());
       case EvidenceMessage.EvidenceRequest m -> out.getEvidenceRequestBuilder();
       case EvidenceMessage.EvidenceSent m -> out.getEvidenceSentBuilder().setComplete(m.complete());
+      case EvidenceMessage.RateLimitNotice m -> {
+        PeerProto.RateLimitNotice.Builder notice =
+            out.getRateLimitNoticeBuilder()
+                .setUpstream(m.upstream().value())
+                .setAgeNanos(m.ageNanos());
+        m.requestsPerSecond().ifPresent(notice::setRequestsPerSecond);
+      }
       case EvidenceMessage.LeavingNotice m ->
           out.getLeavingNoticeBuilder().setUpstream(m.upstream().value());
     }
@@ -91,6 +99,15 @@
       }
       case EVIDENCE_REQUEST -> new EvidenceMessage.EvidenceRequest();
       case EVIDENCE_SENT -> new EvidenceMessage.EvidenceSent(e.getEvidenceSent().getComplete());
+      case RATE_LIMIT_NOTICE -> {
+        PeerProto.RateLimitNotice m = e.getRateLimitNotice();
+        yield new EvidenceMessage.RateLimitNotice(
+            new UpstreamId(m.getUpstream()),
+            m.hasRequestsPerSecond()
+                ? OptionalDouble.of(m.getRequestsPerSecond())
+                : OptionalDouble.empty(),
+            m.getAgeNanos());
+      }
       case LEAVING_NOTICE ->
           new EvidenceMessage.LeavingNotice(new UpstreamId(e.getLeavingNotice().getUpstream()));
       default -> throw PeerCodec.unexpectedBody(e);
--- a/wire/src/main/java/org/mustardlatch/wire/PeerCodec.java
+++ b/wire/src/main/java/org/mustardlatch/wire/PeerCodec.java
@@ -52,6 +52,7 @@
       case BUDGET_LEASE_REQUEST, BUDGET_LEASE -> BudgetCodec.decode(envelope);
       case EVIDENCE_REQUEST,
           EVIDENCE_SENT,
+          RATE_LIMIT_NOTICE,
           CRASH_REPORT,
           RUN_REQUEST,
           RUN_ENDED,
--- a/wire/src/main/java/org/mustardlatch/wire/PeerNode.java
+++ b/wire/src/main/java/org/mustardlatch/wire/PeerNode.java
@@ -31,6 +31,7 @@
 import org.mustardlatch.core.rollout.Rollout;
 import org.mustardlatch.core.rollout.RolloutCommand;
 import org.mustardlatch.core.rollout.RolloutEvent;
+import org.mustardlatch.core.routing.NodeRouter;
 import org.mustardlatch.core.time.TimerService;
 import org.mustardlatch.core.time.TimerSubscription;
 
@@ -272,6 +273,8 @@
     handleMembershipEvent(new MembershipEvent.FrameReceived(from, senderIncarnation));
     switch (message) {
       case RolloutMessage m -> handleRolloutEvent(new RolloutEvent.MessageReceived(from, m));
+      case BudgetMessage m when m.budget().startsWith(NodeRouter.UPSTREAM_BUDGET_PREFIX) ->
+          listener.messageReceived(from, senderIncarnation, m);
       case BudgetMessage m -> budgets.received(from, m, timers.nanos());
       case EvidenceMessage m -> handleEvidence(from, senderIncarnation, m);
       default -> listener.messageReceived(from, senderIncarnation, message);
@@ -300,6 +303,7 @@
       case EvidenceMessage.Cleared m -> forwardAndDeliver(from, senderIncarnation, m);
       case EvidenceMessage.PromptCrashReport m -> forwardAndDeliver(from, senderIncarnation, m);
       case EvidenceMessage.PromptPartsCleared m -> forwardAndDeliver(from, senderIncarnation, m);
+      case EvidenceMessage.RateLimitNotice m -> forwardAndDeliver(from, senderIncarnation, m);
       case EvidenceMessage.LeavingNotice m -> forwardAndDeliver(from, senderIncarnation, m);
     }
   }
--- a/wire/src/test/java/org/mustardlatch/wire/PeerCodecTest.java
+++ b/wire/src/test/java/org/mustardlatch/wire/PeerCodecTest.java
@@ -8,6 +8,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
+import java.util.OptionalDouble;
 import org.junit.jupiter.api.Test;
 import org.mustardlatch.core.error.ErrorCode;
 import org.mustardlatch.core.model.AttemptId;
@@ -76,6 +77,8 @@
                 new EvidenceMessage.PromptPartsCleared("h/1", List.of(FINGERPRINT)),
                 new EvidenceMessage.EvidenceRequest(),
                 new EvidenceMessage.EvidenceSent(true),
+                new EvidenceMessage.RateLimitNotice(UPSTREAM, OptionalDouble.of(3.6), 5),
+                new EvidenceMessage.RateLimitNotice(UPSTREAM, OptionalDouble.empty(), 5),
                 new EvidenceMessage.LeavingNotice(UPSTREAM),
                 new LedgerMessage.LedgerStart(255, "k", "n", "d"),
                 new LedgerMessage.LedgerStarted("k", "n", "FINISHED", "n2", 200, "yes"),
