Record an unknown outcome before its caller hears of it

Cause: the answer "it may have run and will not run again" was sent beside the write of the record that says so. A repeat at another node that came before the write found the request in progress.

Change: the answer waits for the record as that of a completed request does, for at most the finish timeout.

--- a/core/src/main/java/org/mustardlatch/core/ledger/KeyedRequest.java
+++ b/core/src/main/java/org/mustardlatch/core/ledger/KeyedRequest.java
@@ -29,6 +29,8 @@
   private boolean responded;
   private KeyedResponse.NotRun responseAfterCancel =
       new KeyedResponse.NotRun(ErrorCode.STORE_UNAVAILABLE, RETRY_AFTER);
+  // Sent once the outcome is recorded, so that a repeat gets the same response.
+  private KeyedResponse responseAfterFinish = new KeyedResponse.Ran();
   private ShardEvent.FinishRequested pendingFinish;
 
   private enum Step {
@@ -190,8 +192,8 @@
         cancel(nowNanos, out);
       }
       case DispatchOutcome.Unknown u -> {
+        responseAfterFinish = new KeyedResponse.OutcomeUnknown();
         finish(nowNanos, out);
-        respond(new KeyedResponse.OutcomeUnknown(), out);
       }
     }
   }
@@ -219,7 +221,7 @@
   private void finishResponseReceived(Consumer<KeyedRequestCommand> out) {
     if (step == Step.FINISHING) {
       step = Step.DONE;
-      respond(new KeyedResponse.Ran(), out);
+      respond(responseAfterFinish, out);
     }
   }
 
@@ -247,7 +249,7 @@
       }
       case FINISH_TIMEOUT -> {
         if (step == Step.FINISHING) {
-          respond(new KeyedResponse.Ran(), out);
+          respond(responseAfterFinish, out);
         }
       }
     }
--- a/core/src/main/java/org/mustardlatch/core/ledger/KeyedRequestTimeouts.java
+++ b/core/src/main/java/org/mustardlatch/core/ledger/KeyedRequestTimeouts.java
@@ -8,8 +8,8 @@
  * @param forwardTimeout how long the owner of a shard may take to respond to a start or a finish
  *     before the entry node writes the record itself
  * @param cancelTimeout how long the response to the caller waits for the cancellation of the record
- * @param finishTimeout how long the response of the application waits for its finish record; after
- *     that the caller gets the response although the record is not stored yet
+ * @param finishTimeout how long the response to the caller waits for the finish record; after that
+ *     the caller gets the response although the record is not stored yet
  */
 public record KeyedRequestTimeouts(
     Duration forwardTimeout, Duration cancelTimeout, Duration finishTimeout) {
