--- a/core/src/main/java/org/mustardlatch/core/peer/BudgetMessage.java
+++ b/core/src/main/java/org/mustardlatch/core/peer/BudgetMessage.java
@@ -2,7 +2,7 @@
 
 /** Messages for leases of budgets that the nodes of a region share. */
 public sealed interface BudgetMessage extends PeerMessage {
-  /** Returns the name of the budget, for example {@code workspace/vevstua}. */
+  /** Returns the name of the budget, for example {@code workspace/planners}. */
   String budget();
 
   /**
--- a/core/src/test/java/org/mustardlatch/core/routing/UpstreamLimitFleetTest.java
+++ b/core/src/test/java/org/mustardlatch/core/routing/UpstreamLimitFleetTest.java
@@ -294,6 +294,20 @@
     assertUsed(perSecond);
   }
 
+  @Test
+  void limitThatFallsHoldsSoon() {
+    startFleet(8);
+    limit = OptionalDouble.of(40);
+    nodes.values().forEach(n -> sendFor(SCENARIO_TIME, n, 20, List.of(LIMITED, OTHER)));
+    timers.advance(Duration.ofSeconds(6));
+    limit = OptionalDouble.of(3.6);
+    timers.advance(Duration.ofSeconds(1));
+    arrivals.clear();
+    timers.advance(Duration.ofSeconds(13));
+
+    assertWithinLimit(3.6);
+  }
+
   @Test
   void limitThatRisesOrEndsIsUsedWithinSeconds() {
     startFleet(8);
