--- a/core/src/main/java/org/mustardlatch/core/routing/AdmissionController.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/AdmissionController.java
@@ -30,14 +30,14 @@
 
   private final CommandCollector commands;
   private final CellAdmission.Environment environment;
-  private final CellAdmission.CrashListener crashListener;
+  private final CrashListener crashListener;
   private final Map<String, CellAdmission> admissions = new HashMap<>();
   private final UnavailableUpstreams unavailableUpstreams;
   private Topology topology;
 
   AdmissionController(
       CellAdmission.Environment environment,
-      CellAdmission.CrashListener crashListener,
+      CrashListener crashListener,
       UnavailableUpstreams unavailableUpstreams,
       Topology topology) {
     this.commands = environment.commands();
--- a/core/src/main/java/org/mustardlatch/core/routing/CellAdmission.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/CellAdmission.java
@@ -65,16 +65,6 @@
       NodeSettings settings,
       UpstreamLimits upstreamLimits) {}
 
-  /** Receives the engine crashes that a cell detects. */
-  interface CrashListener {
-    /**
-     * Reports a crash.
-     *
-     * @param running the requests that ran on the engine
-     */
-    void engineCrashed(UpstreamId upstream, List<Fingerprint> running);
-  }
-
   private Cell cell;
   private final CommandCollector commands;
   private final CrashEvidence evidence;
--- a/core/src/main/java/org/mustardlatch/core/routing/CrashEvidenceCoordinator.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/CrashEvidenceCoordinator.java
@@ -25,7 +25,7 @@
  * Exchanges crash evidence with the other nodes, and decides which attempt of a suspect request may
  * run. Each request fingerprint has one owner node, which grants these permissions.
  */
-final class CrashEvidenceCoordinator implements CellAdmission.CrashListener {
+final class CrashEvidenceCoordinator implements CrashListener {
   // Several nodes may report the same crash, and may send requests to the upstream until they have
   // noticed it. Upstreams take longer than this to restart, so reports within this time are of one
   // crash.
