Start the nodes of a replay once messages can be delivered

Since a node sends a message as soon as it knows the other nodes.

The fleet is started after it has been created. All tests of replay pass, with the golden replays as they were.

--- a/replay/src/main/java/org/mustardlatch/replay/Fleet.java
+++ b/replay/src/main/java/org/mustardlatch/replay/Fleet.java
@@ -40,6 +40,10 @@
     this.random = random;
     this.execute = execute;
     this.times = times;
+  }
+
+  /** Starts all nodes, which send messages to each other at once. */
+  void start() {
     deployment.nodes().forEach(this::start);
     publishMembers();
   }
--- a/replay/src/main/java/org/mustardlatch/replay/ReplayDriver.java
+++ b/replay/src/main/java/org/mustardlatch/replay/ReplayDriver.java
@@ -51,6 +51,7 @@
     dispatcher = new Dispatcher(manifest, timers, network, engines);
     fleet = new Fleet(deployment, factory, timers, random, this::execute, times);
     callers = new Callers(timers, new EntryBalancer(fleet.nodes()), account);
+    fleet.start();
   }
 
   /**
