Refuse TOML that is nested too deeply with a finding

Cause: the TOML parser descends by recursion without a limit. A manifest with a value of 100,000 nested lists ended in a StackOverflowError instead of a finding, on the thread that parsed it.

Change: TomlSection reports the finding toml_syntax for it. BadInputTest sends the same nesting and a number of 2,000 digits as JSON; that was refused before.

Measured: ManifestParserTest.deepNestingAndHugeNumbersAreFindings failed before with the StackOverflowError (1 of 8), 8 of 8 after; SettingsParserTest 4 of 4, BadInputTest 14 of 14.

--- a/core/src/main/java/org/mustardlatch/core/toml/TomlSection.java
+++ b/core/src/main/java/org/mustardlatch/core/toml/TomlSection.java
@@ -34,7 +34,7 @@
 
   /** Parses a whole file; each syntax error adds a finding with the code {@code toml_syntax}. */
   public static TomlSection parse(String text, TomlFindings findings) {
-    TomlParseResult result = Toml.parse(text);
+    TomlParseResult result = parseNested(text, findings);
     result
         .errors()
         .forEach(
@@ -47,6 +47,16 @@
     return new TomlSection("file", result, TomlPosition.positionAt(1, 1), findings);
   }
 
+  private static TomlParseResult parseNested(String text, TomlFindings findings) {
+    try {
+      return Toml.parse(text);
+    } catch (StackOverflowError e) {
+      // The parser descends by recursion and has no limit of its own.
+      findings.add("toml_syntax", null, "values are nested too deeply", "remove levels of nesting");
+      return Toml.parse("");
+    }
+  }
+
   /** Returns the position of a key, or of the start of the table if the key is absent. */
   public @Nullable TomlPosition positionOf(String key) {
     TomlPosition p = table.inputPositionOf(List.of(key));
--- a/core/src/test/java/org/mustardlatch/core/manifest/ManifestParserTest.java
+++ b/core/src/test/java/org/mustardlatch/core/manifest/ManifestParserTest.java
@@ -75,6 +75,19 @@
     assertThat(found).containsExactly("2:8 toml_syntax");
   }
 
+  @Test
+  void deepNestingAndHugeNumbersAreFindings() {
+    for (String value :
+        List.of(
+            "[".repeat(100_000) + "]".repeat(100_000),
+            "{a=".repeat(100_000) + "1" + "}".repeat(100_000),
+            "9".repeat(2_000),
+            "1e400",
+            "4294967297")) {
+      assertThat(findings("[[upstream]]\nname = \"e1\"\nslots = " + value + "\n")).isNotEmpty();
+    }
+  }
+
   @Test
   void modelThatNoRegionCanServeIsRejected() throws IOException {
     String text = example().replace("role = \"prefill\"", "role = \"decode\"");
--- a/daemon/src/test/java/org/mustardlatch/daemon/BadInputTest.java
+++ b/daemon/src/test/java/org/mustardlatch/daemon/BadInputTest.java
@@ -59,6 +59,14 @@
         .isEqualTo("malformed_json");
   }
 
+  @Test
+  void deeplyNestedJsonAndHugeNumbersAreRefused() {
+    for (String value :
+        new String[] {"[".repeat(100_000) + "]".repeat(100_000), "9".repeat(2_000)}) {
+      assertThat(post("{\"model\":\"wording\",\"prompt\":" + value + "}").status()).isEqualTo(400);
+    }
+  }
+
   @Test
   void anEmptyBodyAndAListAreRefused() {
     assertThat(post("").errorCode()).isEqualTo("invalid_argument");
