Let an odd object of the store cost that object alone

Cause: a list or a batch of events of the store was parsed as one JSON document, so that one entry nested deeper than 1,000 levels, with a number of more than 1,000 digits, with invalid UTF-8 or without a readable name made all of it unreadable, and the node followed no change as long as the entry stood.

What is too long is not kept, so that memory is bounded. An upstream whose entry turns odd is still named, and gets no more work.

--- a/gateway/src/main/java/org/mustardlatch/gateway/FleetState.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/FleetState.java
@@ -221,7 +221,6 @@
   private final class InstanceListener implements StoreListener<Instance> {
     @Override
     public void objectsListed(List<StoredEntry<Instance>> entries, List<String> unreadable) {
-      unreadable.forEach(n -> EventLog.log(LogEvent.UPSTREAM_ENTRY_UNREADABLE, n));
       table.replace(entries.stream().map(StoredEntry::content).toList(), timers.nanos());
       EventLog.log(LogEvent.UPSTREAMS_LISTED, table.all().size());
       scheduleExpiry();
@@ -236,10 +235,7 @@
           table.put(i);
           EventLog.log(LogEvent.UPSTREAM_ENTRY, i.id(), i.service(), i.zone(), i.leaving());
         }
-        case StoreResponse.Change.Unreadable<Instance> u -> {
-          table.discard(u.name());
-          EventLog.log(LogEvent.UPSTREAM_ENTRY_UNREADABLE, u.name());
-        }
+        case StoreResponse.Change.Unreadable<Instance> u -> table.discard(u.name());
         case StoreResponse.Change.Removed<Instance> r -> {
           table.remove(r.name(), timers.nanos());
           EventLog.log(LogEvent.UPSTREAM_REMOVED, r.name());
--- a/gateway/src/main/java/org/mustardlatch/gateway/log/LogEvent.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/log/LogEvent.java
@@ -43,7 +43,6 @@
   CONFIGURATION_UNREADABLE(8014, Level.WARN, "configuration unreadable object={}"),
   UPSTREAMS_LISTED(8015, Level.INFO, "upstreams listed known={}"),
   UPSTREAM_ENTRY(8016, Level.INFO, "upstream={} service={} zone={} leaving={}"),
-  UPSTREAM_ENTRY_UNREADABLE(8017, Level.WARN, "upstream={} entry unreadable"),
   UPSTREAM_REMOVED(8018, Level.INFO, "upstream={} removed"),
   REQUEST_SENT(
       8020, Level.INFO, "request={} name={} sent upstream={} reason={} predicted_ms={} content={}"),
--- a/gateway/src/main/java/org/mustardlatch/gateway/store/HttpStoreReader.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/store/HttpStoreReader.java
@@ -1,25 +1,30 @@
 package org.mustardlatch.gateway.store;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
 import java.time.Duration;
-import java.util.function.BiFunction;
+import java.util.Objects;
 import java.util.function.Consumer;
+import java.util.function.IntFunction;
 import org.jspecify.annotations.Nullable;
 import org.mustardlatch.core.time.TimerService;
 import org.mustardlatch.core.time.TimerSubscription;
-import org.mustardlatch.gateway.http.BufferedResponse;
-import org.mustardlatch.gateway.http.BufferedResponseListener;
 import org.mustardlatch.gateway.http.Call;
 import org.mustardlatch.gateway.http.CallFailure;
+import org.mustardlatch.gateway.http.CallListener;
 import org.mustardlatch.gateway.http.CallRequest;
+import org.mustardlatch.gateway.http.ResponseEnd;
 import org.mustardlatch.gateway.http.UpstreamPool;
+import org.mustardlatch.gateway.store.StoreCodec.ResponseDecoder;
 
 /** Reads objects of one kind from the platform's store over HTTP. */
 public final class HttpStoreReader<T> implements StoreReader<T> {
   // The store normally responds in milliseconds; after this time it is taken for unreachable.
   private static final Duration RESPONSE_TIMEOUT = Duration.ofMillis(1_500);
-  // A page of a list has about a megabyte and at least one object, which may have another.
-  private static final int MAX_RESPONSE_BYTES = 8 << 20;
+  // The codec bounds what is kept of a response; the limit only ends one without an end.
+  private static final long MAX_RESPONSE_BYTES = 64L << 20;
 
   private final TimerService timers;
   private final UpstreamPool pool;
@@ -35,7 +40,7 @@
 
   @Override
   public void list(@Nullable String after, Consumer<StoreResponse<T>> consumer) {
-    startRead(codec.listRequest(after), RESPONSE_TIMEOUT, codec::decodeList, consumer);
+    startRead(codec.listRequest(after), RESPONSE_TIMEOUT, codec::listDecoder, consumer);
   }
 
   @Override
@@ -43,16 +48,16 @@
     startRead(
         codec.watchRequest(revision, wait),
         wait.plus(RESPONSE_TIMEOUT),
-        codec::decodeWatch,
+        codec::watchDecoder,
         consumer);
   }
 
   private void startRead(
       HttpRequest request,
       Duration timeout,
-      BiFunction<Integer, byte[], StoreResponse<T>> decoder,
+      IntFunction<ResponseDecoder<T>> decoderForStatus,
       Consumer<StoreResponse<T>> consumer) {
-    var listener = new PendingRead(decoder, consumer);
+    var listener = new PendingRead(decoderForStatus, consumer);
     listener.timer = timers.schedule(timeout, listener::timedOut);
     CallRequest call =
         new CallRequest(request, new byte[0], true, r -> true)
@@ -61,29 +66,38 @@
   }
 
   /** A read in progress; passes on its response, or a failure, exactly once. */
-  private final class PendingRead extends BufferedResponseListener {
-    private final BiFunction<Integer, byte[], StoreResponse<T>> decoder;
+  private final class PendingRead implements CallListener {
+    private final IntFunction<ResponseDecoder<T>> decoderForStatus;
     private final Consumer<StoreResponse<T>> consumer;
+    private @Nullable ResponseDecoder<T> decoder;
+    private @Nullable Long responseRestoreCount;
     private @Nullable Call call;
     private @Nullable TimerSubscription timer;
 
     PendingRead(
-        BiFunction<Integer, byte[], StoreResponse<T>> decoder,
-        Consumer<StoreResponse<T>> consumer) {
-      this.decoder = decoder;
+        IntFunction<ResponseDecoder<T>> decoderForStatus, Consumer<StoreResponse<T>> consumer) {
+      this.decoderForStatus = decoderForStatus;
       this.consumer = consumer;
     }
 
     @Override
-    protected void responseReceived(BufferedResponse response) {
-      Long count = codec.readRestoreCount(response.head().headers());
+    public void headReceived(HttpResponse head) {
+      decoder = decoderForStatus.apply(head.status().code());
+      responseRestoreCount = codec.readRestoreCount(head.headers());
+    }
+
+    @Override
+    public void bodyReceived(ByteBuf part) {
+      Objects.requireNonNull(decoder).append(ByteBufUtil.getBytes(part));
+    }
+
+    @Override
+    public void completed(ResponseEnd end) {
+      Long count = responseRestoreCount;
       Long known = restoreCount;
       restoreCount = count == null ? known : count;
       boolean restored = count != null && known != null && !count.equals(known);
-      finish(
-          restored
-              ? new StoreResponse.Restored<>()
-              : decoder.apply(response.status(), response.body()));
+      finish(restored ? new StoreResponse.Restored<>() : Objects.requireNonNull(decoder).finish());
     }
 
     @Override
--- a/gateway/src/main/java/org/mustardlatch/gateway/store/StoreCodec.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/store/StoreCodec.java
@@ -22,9 +22,21 @@
    */
   @Nullable Long readRestoreCount(HttpHeaders headers);
 
-  /** Decodes the response to a list; an invalid one becomes {@link StoreResponse.Unavailable}. */
-  StoreResponse<T> decodeList(int status, byte[] body);
+  /** Returns a decoder of a response to a list. */
+  ResponseDecoder<T> listDecoder(int status);
 
-  /** Decodes the response to a watch; an invalid one becomes {@link StoreResponse.Unavailable}. */
-  StoreResponse<T> decodeWatch(int status, byte[] body);
+  /** Returns a decoder of a response to a watch. */
+  ResponseDecoder<T> watchDecoder(int status);
+
+  /** Decodes the body of one response while it arrives. */
+  interface ResponseDecoder<T> {
+    /** Processes the next part of the body. */
+    void append(byte[] part);
+
+    /**
+     * Returns the response after the end of its body; an invalid one becomes {@link
+     * StoreResponse.Unavailable}.
+     */
+    StoreResponse<T> finish();
+  }
 }
--- a/gateway/src/main/java/org/mustardlatch/gateway/store/StoreResponse.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/store/StoreResponse.java
@@ -41,8 +41,16 @@
 
   /** A change of one object. */
   sealed interface Change<T> {
+    /** Returns the name of the object. */
+    String name();
+
     /** An object was created or replaced. */
-    record Put<T>(StoredEntry<T> entry) implements Change<T> {}
+    record Put<T>(StoredEntry<T> entry) implements Change<T> {
+      @Override
+      public String name() {
+        return entry.name();
+      }
+    }
 
     /** An object was created or replaced with content that could not be decoded. */
     record Unreadable<T>(String name) implements Change<T> {}
