Give each call of the own interface a connection of its own

Cause: nothing in a response of an engine or application on the own interface tells which request it belongs to, and calls took kept connections. A second copy of a response, written when the next request arrived on the connection, reached the caller of that request.

Change: calls whose response goes to a caller open a connection each, as those that must run once did before; sendOnce and send are one method. Polls, probes and cancellations keep their pool.

--- a/daemon/src/main/java/org/mustardlatch/daemon/caller/KeyedRequestExecutor.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/caller/KeyedRequestExecutor.java
@@ -71,8 +71,7 @@
         ledger.begin(workspace.id(), key, requestDigest(request), deadlineNanos);
     @Nullable Responded ownResponse = null;
     if (awaitDispatchPermission(handle, new CallerConnection(ctx)) && handle.claimDispatch()) {
-      ApplicationResult result =
-          applications.sendOnce(upstream, request, remainingTime(deadlineNanos));
+      ApplicationResult result = applications.send(upstream, request, remainingTime(deadlineNanos));
       if (result instanceof ApplicationResult.Unknown) {
         result =
             lookUpOutcome(route, upstream, key).map(ApplicationResult.class::cast).orElse(result);
--- a/daemon/src/main/java/org/mustardlatch/daemon/upstream/ApplicationClient.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/upstream/ApplicationClient.java
@@ -8,8 +8,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.concurrent.TimeUnit;
-import okhttp3.ConnectionPool;
 import okhttp3.HttpUrl;
 import okhttp3.MediaType;
 import okhttp3.OkHttpClient;
@@ -35,7 +33,8 @@
   }
 
   /**
-   * Sends a request that is safe to repeat, on a pooled connection.
+   * Sends a request at most once, on a connection of its own: on a kept connection that the service
+   * has just closed, the outcome would be unknown although the service ran nothing.
    *
    * @param timeout timeout for the whole call
    */
@@ -43,38 +42,14 @@
     Optional<UpstreamHost> host = hosts.find(upstream);
     return host.isEmpty()
         ? new ApplicationResult.NotSent("upstream " + upstream + " is not known")
-        : executeCall(host.get(), host.get().client().newBuilder(), request, timeout);
-  }
-
-  /**
-   * Sends a request at most once, on a connection of its own: on a pooled connection that the
-   * service has just closed, the outcome would be unknown although the service ran nothing.
-   *
-   * @param timeout timeout for the whole call
-   */
-  public ApplicationResult sendOnce(
-      UpstreamId upstream, ApplicationRequest request, Duration timeout) {
-    Optional<UpstreamHost> host = hosts.find(upstream);
-    return host.isEmpty()
-        ? new ApplicationResult.NotSent("upstream " + upstream + " is not known")
-        : executeCall(
-            host.get(),
-            host.get()
-                .client()
-                .newBuilder()
-                .connectionPool(new ConnectionPool(0, 1, TimeUnit.SECONDS)),
-            request,
-            timeout);
+        : executeCall(host.get(), request, timeout);
   }
 
   private static ApplicationResult executeCall(
-      UpstreamHost host,
-      OkHttpClient.Builder clientBuilder,
-      ApplicationRequest request,
-      Duration timeout) {
+      UpstreamHost host, ApplicationRequest request, Duration timeout) {
     RequestSentListener listener = new RequestSentListener();
     OkHttpClient singleCallClient =
-        clientBuilder.eventListener(listener).callTimeout(timeout).build();
+        host.callClient().newBuilder().eventListener(listener).callTimeout(timeout).build();
     HttpUrl url = host.baseUrl().resolve(request.pathAndQuery());
     if (url == null) {
       return new ApplicationResult.NotSent("path is not valid: " + request.pathAndQuery());
--- a/daemon/src/main/java/org/mustardlatch/daemon/upstream/CancelTask.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/upstream/CancelTask.java
@@ -63,7 +63,12 @@
     Request request =
         new Request.Builder().url(host.url("/v1/requests/" + engineRequestId)).delete().build();
     try (Response response =
-        host.client().newBuilder().callTimeout(CALL_TIMEOUT).build().newCall(request).execute()) {
+        host.controlClient()
+            .newBuilder()
+            .callTimeout(CALL_TIMEOUT)
+            .build()
+            .newCall(request)
+            .execute()) {
       return response.code() == 200 || response.code() == 404;
     } catch (IOException e) {
       return false;
--- a/daemon/src/main/java/org/mustardlatch/daemon/upstream/EngineClient.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/upstream/EngineClient.java
@@ -126,7 +126,7 @@
   }
 
   private Call newEngineCall(UpstreamHost host, String path, AttemptId attempt, RequestBody body) {
-    return host.client()
+    return host.callClient()
         .newCall(
             new Request.Builder()
                 .url(host.url(path))
--- a/daemon/src/main/java/org/mustardlatch/daemon/upstream/FailureProbe.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/upstream/FailureProbe.java
@@ -40,7 +40,12 @@
   private static Failure probe(UpstreamHost host, boolean stalled) {
     Request request = new Request.Builder().url(host.url("/metrics.json")).build();
     try (Response response =
-        host.client().newBuilder().callTimeout(PROBE_TIMEOUT).build().newCall(request).execute()) {
+        host.controlClient()
+            .newBuilder()
+            .callTimeout(PROBE_TIMEOUT)
+            .build()
+            .newCall(request)
+            .execute()) {
       if (stalled && host.recordStall()) {
         return Failure.STALLED;
       }
--- a/daemon/src/main/java/org/mustardlatch/daemon/upstream/UpstreamHost.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/upstream/UpstreamHost.java
@@ -10,8 +10,12 @@
 import org.mustardlatch.core.model.UpstreamId;
 
 /**
- * An upstream with its own connection pool, so that a stall evicts only the connections to this
- * host. Safe for use by several threads.
+ * An upstream and the clients for its calls. Safe for use by several threads.
+ *
+ * <p>A call whose response goes to a caller has a connection of its own: nothing in a response
+ * tells which request it belongs to, so that a second copy of one on a kept connection would reach
+ * the caller of the next. Control calls share a pool for each upstream, so that a stall evicts only
+ * the connections to this host.
  */
 final class UpstreamHost {
   private static final int MAX_IDLE_CONNECTIONS = 64;
@@ -20,9 +24,10 @@
   private final UpstreamId id;
   private final URI address;
   private final HttpUrl baseUrl;
-  private final OkHttpClient client;
+  private final OkHttpClient callClient;
+  private final OkHttpClient controlClient;
   private final AtomicBoolean stalledSinceLastSuccess = new AtomicBoolean();
-  private final ConnectionPool pool =
+  private final ConnectionPool controlPool =
       new ConnectionPool(MAX_IDLE_CONNECTIONS, IDLE_TIMEOUT_SECONDS, TimeUnit.SECONDS);
 
   UpstreamHost(Upstream upstream, OkHttpClient sharedClient) {
@@ -33,7 +38,9 @@
       throw new IllegalArgumentException("\"" + upstream.url() + "\" is not an http URL");
     }
     this.baseUrl = url;
-    this.client = sharedClient.newBuilder().connectionPool(pool).build();
+    ConnectionPool noReuse = new ConnectionPool(0, IDLE_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    this.callClient = sharedClient.newBuilder().connectionPool(noReuse).build();
+    this.controlClient = sharedClient.newBuilder().connectionPool(controlPool).build();
   }
 
   UpstreamId id() {
@@ -44,8 +51,14 @@
     return address.equals(url);
   }
 
-  OkHttpClient client() {
-    return client;
+  /** Returns the client for calls whose response goes to a caller. */
+  OkHttpClient callClient() {
+    return callClient;
+  }
+
+  /** Returns the client for polls, probes and cancellations. */
+  OkHttpClient controlClient() {
+    return controlClient;
   }
 
   /** Appends a path, which must start with a slash, to the base URL. */
@@ -57,9 +70,9 @@
     return baseUrl;
   }
 
-  /** Closes the idle connections; calls in progress keep theirs. */
+  /** Closes the idle connections of control calls; those in use remain. */
   void evictConnections() {
-    pool.evictAll();
+    controlPool.evictAll();
   }
 
   /** Records that a call succeeded. */
--- a/daemon/src/main/java/org/mustardlatch/daemon/upstream/UpstreamPoller.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/upstream/UpstreamPoller.java
@@ -145,7 +145,7 @@
    * Returns the response, or a missing node when the call fails; the next period repeats the call.
    */
   private static JsonNode getJson(UpstreamHost host, HttpUrl url) {
-    OkHttpClient client = host.client().newBuilder().callTimeout(CALL_TIMEOUT).build();
+    OkHttpClient client = host.controlClient().newBuilder().callTimeout(CALL_TIMEOUT).build();
     try (Response response = client.newCall(new Request.Builder().url(url).build()).execute()) {
       return response.isSuccessful() ? EngineJson.read(response) : EngineJson.missingNode();
     } catch (IOException e) {
--- a/daemon/src/test/java/org/mustardlatch/daemon/upstream/UnframedServiceResponseTest.java
+++ b/daemon/src/test/java/org/mustardlatch/daemon/upstream/UnframedServiceResponseTest.java
@@ -77,7 +77,7 @@
 
   private ApplicationResult callService(String headers, String body) {
     Thread.ofVirtual().start(() -> respond("HTTP/1.1 200 OK\r\n" + headers + "\r\n" + body));
-    return client.sendOnce(
+    return client.send(
         SERVICE,
         new ApplicationRequest("GET", "/", Map.of(), ByteString.EMPTY),
         Duration.ofSeconds(5));
