Take the earliest report of a crash for the most accurate one

Cause: a report of a crash says how long ago it was noticed; the receiver adds the time that the report took. Reports that waited for the connection to a restarted node came up to 0.28 s late (seen in a trace of CrashingMessageTest, where they had been queued while the node was down), so that crashes 13 ms and 43 ms apart changed their order, and requests seemed to be sent before the crash that preceded them. Three crashes in a row no longer counted as such, and the accurate reports that followed did not correct the times. The restarted node then ran requests with a part that the fleet refuses.

Change: a report with an earlier time moves the crash on record and its requests to it.

--- a/core/src/main/java/org/mustardlatch/core/quarantine/PromptPartEvidence.java
+++ b/core/src/main/java/org/mustardlatch/core/quarantine/PromptPartEvidence.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
+import org.jspecify.annotations.Nullable;
 import org.mustardlatch.core.model.Fingerprint;
 import org.mustardlatch.core.model.UpstreamId;
 import org.mustardlatch.core.quarantine.CrashEvidence.SuspicionLevel;
@@ -98,33 +99,42 @@
    */
   public boolean recordCrash(Crash crash, long nowNanos) {
     expire(nowNanos);
-    Crash recorded = find(crash);
+    Crash known = find(crash);
+    // A report takes time to arrive, so the one with the earliest time is the most accurate.
+    boolean earlier = known != null && crash.crashNanos() < known.crashNanos();
+    Crash recorded =
+        known == null
+            ? add(crash.upstream(), crash.crashNanos())
+            : earlier ? moveTo(known, crash.crashNanos()) : known;
     boolean changed = false;
     for (Map.Entry<Fingerprint, Long> e : crash.sentNanos().entrySet()) {
       if (e.getValue() > clearedNanos.getOrDefault(e.getKey(), Long.MIN_VALUE)) {
-        Long known = recorded.sentNanos().get(e.getKey());
+        changed |= !recorded.sentNanos().containsKey(e.getKey());
         recorded.sentNanos().merge(e.getKey(), e.getValue(), Math::max);
-        changed |= known == null;
       }
     }
-    if (changed) {
+    if (changed || earlier) {
       reassess(nowNanos);
     }
     return changed;
   }
 
-  private Crash find(Crash crash) {
-    int index = 0;
+  private @Nullable Crash find(Crash crash) {
     for (Crash c : crashes) {
       if (c.upstream().equals(crash.upstream())
           && Math.abs(c.crashNanos() - crash.crashNanos()) < SAME_CRASH_NANOS) {
         return c;
       }
-      if (c.crashNanos() <= crash.crashNanos()) {
-        index++;
-      }
     }
-    Crash added = new Crash(crash.upstream(), crash.crashNanos(), new HashMap<>());
+    return null;
+  }
+
+  private Crash add(UpstreamId upstream, long crashNanos) {
+    Crash added = new Crash(upstream, crashNanos, new HashMap<>());
+    int index = 0;
+    while (index < crashes.size() && crashes.get(index).crashNanos() <= crashNanos) {
+      index++;
+    }
     crashes.add(index, added);
     if (crashes.size() > MAX_CRASHES) {
       crashes.removeFirst();
@@ -132,6 +142,22 @@
     return added;
   }
 
+  /** Gives a crash an earlier time, and its requests as well. */
+  private Crash moveTo(Crash crash, long crashNanos) {
+    crashes.remove(crash);
+    Crash moved = add(crash.upstream(), crashNanos);
+    long difference = crash.crashNanos() - crashNanos;
+    crash
+        .sentNanos()
+        .forEach(
+            (part, sent) -> {
+              if (sent - difference > clearedNanos.getOrDefault(part, Long.MIN_VALUE)) {
+                moved.sentNanos().put(part, sent - difference);
+              }
+            });
+    return moved;
+  }
+
   /**
    * Clears parts of a prompt that completed.
    *
--- a/core/src/main/java/org/mustardlatch/core/routing/PromptPartQuarantine.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/PromptPartQuarantine.java
@@ -88,8 +88,8 @@
     Set<Fingerprint> before = evidence.quarantined();
     if (evidence.recordCrash(crash, commands.now())) {
       crash.sentNanos().keySet().forEach(coordinator::suspectRunEnded);
-      explainChanges(before);
     }
+    explainChanges(before);
   }
 
   private void explainChanges(Set<Fingerprint> before) {
--- a/core/src/test/java/org/mustardlatch/core/quarantine/PromptPartEvidenceTest.java
+++ b/core/src/test/java/org/mustardlatch/core/quarantine/PromptPartEvidenceTest.java
@@ -75,6 +75,29 @@
     assertThat(suspicion(BAD)).isEqualTo(new Suspicion.None());
   }
 
+  @Test
+  void reportsThatWereDelayedDoNotHideCrashesInARow() {
+    for (int i = 1; i <= 3; i++) {
+      reportCrash(i, SECOND / 2 - i * SECOND / 20);
+    }
+    assertThat(suspicion(BAD)).isEqualTo(new Suspicion.None());
+    for (int i = 1; i <= 3; i++) {
+      reportCrash(i, 0);
+    }
+
+    assertThat(suspicion(BAD)).isEqualTo(quarantined(BAD));
+  }
+
+  /**
+   * Records a report of one of several crashes, 40 ms apart, of requests that were each sent after
+   * the crash before.
+   */
+  private void reportCrash(int number, long delayNanos) {
+    long crash = now + number * SECOND / 25 + delayNanos;
+    Map<Fingerprint, Long> sent = Map.of(BAD, crash - SECOND / 50);
+    evidence.recordCrash(new Crash(new UpstreamId("e" + number), crash, sent), crash);
+  }
+
   @Test
   void countsEnginesThatCrashTogetherOnce() {
     long sent = now;
