Report a node of the own interface ready once it knows what the fleet refuses

Until then it sent requests to engines that the fleet refuses because they crash them.

Change: ReadinessMonitor waits until a peer has sent its crash evidence, as gateways do.

--- a/daemon/src/main/java/org/mustardlatch/daemon/Daemon.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/Daemon.java
@@ -35,6 +35,7 @@
 import org.mustardlatch.daemon.node.ManifestService;
 import org.mustardlatch.daemon.node.NodeRegistration;
 import org.mustardlatch.daemon.node.NodeState;
+import org.mustardlatch.daemon.node.ReadinessMonitor;
 import org.mustardlatch.daemon.operator.NodeInspector;
 import org.mustardlatch.daemon.operator.OperatorApi;
 import org.mustardlatch.daemon.operator.RequestMetrics;
@@ -72,6 +73,7 @@
   private final WorkspaceRateLimiter workspaceRateLimiter;
   private final HostListPoller hostListPoller;
   private final NodeRegistration registration;
+  private final ReadinessMonitor readinessMonitor;
   private final CallerApi callerApi;
   private final OperatorApi operatorApi;
   private final CountDownLatch drained = new CountDownLatch(1);
@@ -119,6 +121,12 @@
     registration =
         new NodeRegistration(
             settings.host(), store, peers.service(), routingLoop, () -> peers.liveMembers().size());
+    readinessMonitor =
+        new ReadinessMonitor(
+            routingLoop,
+            router::knowsFleetEvidence,
+            () -> registration.isOnlyNode() && peers.liveMembers().size() < 2,
+            this::becomeReady);
     workspaceRateLimiter =
         new WorkspaceRateLimiter(peers.service(), peers, manifest, settings.region());
     PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
@@ -144,7 +152,7 @@
             registry);
   }
 
-  /** Starts all services. The node becomes ready once it has a sufficiently recent manifest. */
+  /** Starts all services. The node becomes ready as {@link ReadinessMonitor} describes. */
   public void start() {
     EventLog.log(LogEvent.DAEMON_STARTING, settings.host(), settings.zone(), peers.incarnation());
     var unused = manifest.changes().subscribe(this::applyManifest);
@@ -153,6 +161,7 @@
     peers.service().addListener(new WorkspaceRateListener());
     peers.service().addListener(hostListPoller);
     registration.start(peers.service().start());
+    readinessMonitor.start();
     manifestService.start();
     ledger.start();
     upstreamPoller.start();
@@ -188,6 +197,7 @@
     manifestService.stop();
     hostListPoller.stop();
     registration.stop();
+    readinessMonitor.stop();
     peers.service().stop();
     store.close();
     peerLoop.stop();
@@ -279,13 +289,16 @@
     }
   }
 
-  /** Marks the node as ready once its active manifest is recent enough. */
+  private void becomeReady(long revision) {
+    if (state.enter(NodeState.Phase.READY)) {
+      EventLog.log(LogEvent.DAEMON_READY, revision);
+    }
+  }
+
   private final class ReadinessListener implements PeerServiceListener {
     @Override
     public void configurationReady(long revision) {
-      if (state.enter(NodeState.Phase.READY)) {
-        EventLog.log(LogEvent.DAEMON_READY, revision);
-      }
+      readinessMonitor.manifestReady(revision);
     }
   }
 }
--- a/daemon/src/main/java/org/mustardlatch/daemon/node/NodeRegistration.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/node/NodeRegistration.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.IntSupplier;
 import org.mustardlatch.core.model.HostId;
 import org.mustardlatch.core.time.TimerService;
@@ -32,6 +33,7 @@
   private final IntSupplier liveMemberCount;
   private TimerSubscription subscription = () -> {};
   private volatile boolean registered;
+  private volatile boolean onlyNode;
 
   /**
    * Creates a registration that is not started.
@@ -68,13 +70,26 @@
     subscription.cancel();
   }
 
+  /** Returns whether the list of nodes was read at the start and has no other node. */
+  public boolean isOnlyNode() {
+    return onlyNode;
+  }
+
   private void registerAndDiscover(String address) {
     if (!registered) {
       register(address);
     }
     if (liveMemberCount.getAsInt() < 2) {
+      AtomicBoolean failed = new AtomicBoolean();
       var unused =
-          store.list(KIND, reason -> {}).thenAccept(found -> reportListedNodes(found, address));
+          store
+              .list(KIND, reason -> failed.set(true))
+              .thenAccept(
+                  found -> {
+                    if (!failed.get()) {
+                      reportListedNodes(found, address);
+                    }
+                  });
     }
   }
 
@@ -108,9 +123,11 @@
   private void reportListedNodes(List<StoredObject> found, String own) {
     List<String> addresses =
         found.stream()
+            .filter(o -> !o.name().equals(host.value()))
             .map(o -> o.spec().path("address").asText())
             .filter(a -> !a.isEmpty() && !a.equals(own))
             .toList();
+    onlyNode = addresses.isEmpty();
     if (!addresses.isEmpty()) {
       peers.nodesListed(addresses);
     }
