Bound the numbers that one message may state

Cause: numbers in headers were taken as they stand. A request that stated a timeout of 9e18 ms made the computation of every later request on its route throw, and one of some hours made all other callers of the route count as late, since the longest stated timeout is taken for that of a first attempt. A part of a prompt with a stated length of 2^31 - 1 tokens was expanded to 8 million hashes, which do not fit into the heap. A Keep-Alive timeout of more than 292 years broke a whole response off. All of these are one message of a caller or upstream.

The exhausted heap itself was not brought about.

--- a/gateway/src/main/java/org/mustardlatch/gateway/FleetManifest.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/FleetManifest.java
@@ -162,11 +162,16 @@
     return result;
   }
 
-  /** Returns hashes of the prompt's blocks; equal parts of prompts have equal hashes. */
-  static List<Long> prefixBlocks(List<RequestMetadata.PromptPart> parts) {
+  /**
+   * Returns hashes of the prompt's blocks; equal parts of prompts have equal hashes. Blocks beyond
+   * the length of the prompt are left out, whatever length its parts are said to have.
+   */
+  static List<Long> prefixBlocks(RequestMetadata prompt) {
+    int maxBlocks = prompt.promptTokens() / PREFIX_BLOCK_TOKENS;
     List<Long> result = new ArrayList<>();
-    for (RequestMetadata.PromptPart p : parts) {
-      for (int i = 0; i < p.tokens() / PREFIX_BLOCK_TOKENS; i++) {
+    for (RequestMetadata.PromptPart p : prompt.promptParts()) {
+      int blocks = Math.min(p.tokens() / PREFIX_BLOCK_TOKENS, maxBlocks - result.size());
+      for (int i = 0; i < blocks; i++) {
         result.add(p.contentDigest() * 31 + i);
       }
     }
--- a/gateway/src/main/java/org/mustardlatch/gateway/Gateway.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/Gateway.java
@@ -277,11 +277,12 @@
 
   /**
    * Returns the timeout of callers of a route at their first attempt: the longest one seen so far,
-   * because later attempts state a shorter time.
+   * because later attempts state a shorter time. A longer one than the route's says nothing about
+   * other callers.
    */
   private Duration firstAttemptTimeout(GatewayRoute route, RequestMetadata metadata) {
     Long statedMillis = metadata.timeoutMillis();
-    long millis = statedMillis == null ? 0 : statedMillis;
+    long millis = statedMillis == null ? 0 : Math.min(statedMillis, route.timeout().toMillis());
     return Duration.ofMillis(firstAttemptTimeoutMillis.merge(route.name(), millis, Math::max));
   }
 
--- a/gateway/src/main/java/org/mustardlatch/gateway/GenerationRequestHandler.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/GenerationRequestHandler.java
@@ -179,7 +179,7 @@
             Math.max(1, metadata.promptTokens()),
             Math.max(1, metadata.maxOutputTokens()),
             exchange.caller().body().length,
-            FleetManifest.prefixBlocks(metadata.promptParts()),
+            FleetManifest.prefixBlocks(metadata),
             exchange.fingerprint(),
             Math.min(exchange.deadlineNanos(), firstTokenDeadline),
             exchange.deadlineNanos(),
--- a/gateway/src/main/java/org/mustardlatch/gateway/RequestMetadata.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/RequestMetadata.java
@@ -9,9 +9,10 @@
  * @param requestId the caller's id of this attempt; null if the header is absent
  * @param timeoutMillis how long the caller waits for the response, milliseconds; null if the header
  *     is absent
- * @param promptTokens length of the prompt, tokens
- * @param maxOutputTokens maximum number of tokens to generate
- * @param lengthHint number of tokens that the caller expects to be generated; 0 if not stated
+ * @param promptTokens length of the prompt, tokens, at most {@link #MAX_TOKENS}
+ * @param maxOutputTokens maximum number of tokens to generate, at most {@link #MAX_TOKENS}
+ * @param lengthHint number of tokens that the caller expects to be generated, at most {@link
+ *     #MAX_TOKENS}; 0 if not stated
  * @param promptParts the parts of the prompt in order
  */
 public record RequestMetadata(
@@ -21,9 +22,28 @@
     int maxOutputTokens,
     int lengthHint,
     List<PromptPart> promptParts) {
-  /** Creates metadata with a copy of the list. */
+  /** Largest number of tokens that a caller may state; far above what any model takes. */
+  public static final int MAX_TOKENS = 10_000_000;
+
+  /**
+   * Creates metadata with a copy of the list.
+   *
+   * @throws IllegalArgumentException if a number is negative or too large
+   */
   public RequestMetadata {
     promptParts = List.copyOf(promptParts);
+    checkTokens("length of the prompt", promptTokens);
+    checkTokens("maximum output", maxOutputTokens);
+    checkTokens("expected output", lengthHint);
+    if (timeoutMillis != null && timeoutMillis < 0) {
+      throw new IllegalArgumentException("timeout is " + timeoutMillis + " ms");
+    }
+  }
+
+  private static void checkTokens(String what, int tokens) {
+    if (tokens < 0 || tokens > MAX_TOKENS) {
+      throw new IllegalArgumentException(what + " is " + tokens + " tokens");
+    }
   }
 
   /**
@@ -32,5 +52,10 @@
    * @param contentDigest digest of the part's content
    * @param tokens length of the part, tokens
    */
-  public record PromptPart(long contentDigest, int tokens) {}
+  public record PromptPart(long contentDigest, int tokens) {
+    /** Throws {@link IllegalArgumentException} if the length is negative or too large. */
+    public PromptPart {
+      checkTokens("length of a part", tokens);
+    }
+  }
 }
--- a/gateway/src/main/java/org/mustardlatch/gateway/RoutedExchange.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/RoutedExchange.java
@@ -12,6 +12,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.mustardlatch.core.error.ErrorCode;
 import org.mustardlatch.core.model.Fingerprint;
@@ -77,7 +78,7 @@
             : Math.max(
                 0,
                 (long) (firstAttemptTimeout.toNanos() * MIN_FIRST_ATTEMPT_TIMEOUT_FRACTION)
-                    - statedMillis * 1_000_000);
+                    - TimeUnit.MILLISECONDS.toNanos(statedMillis));
     this.deadlineNanos = caller.receivedNanos() + Duration.ofMillis(timeoutMillis).toNanos();
   }
 
--- a/gateway/src/main/java/org/mustardlatch/gateway/http/UpstreamConnection.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/http/UpstreamConnection.java
@@ -23,6 +23,7 @@
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 
 /** A connection to an upstream that carries one call at a time. Used on the event loop only. */
@@ -30,6 +31,8 @@
   /** Keep-alive timeout that is assumed if the upstream states none. */
   private static final Duration DEFAULT_KEEP_ALIVE = Duration.ofSeconds(4);
 
+  private static final long MAX_KEEP_ALIVE_SECONDS = 3_600;
+
   // Leaves room for interim responses and for late responses to earlier requests.
   private static final int MAX_BYTES_BEFORE_RESPONSE = 1 << 18;
 
@@ -183,7 +186,8 @@
       String p = part.strip();
       if (p.startsWith("timeout=")) {
         try {
-          keepAliveNanos = Duration.ofSeconds(Long.parseLong(p.substring(8).strip())).toNanos();
+          long seconds = Long.parseLong(p.substring(8).strip());
+          keepAliveNanos = TimeUnit.SECONDS.toNanos(Math.min(seconds, MAX_KEEP_ALIVE_SECONDS));
         } catch (NumberFormatException e) {
           // An invalid value falls back to the default, which is short.
           keepAliveNanos = DEFAULT_KEEP_ALIVE.toNanos();
--- a/gateway/src/test/java/org/mustardlatch/gateway/DataPathTest.java
+++ b/gateway/src/test/java/org/mustardlatch/gateway/DataPathTest.java
@@ -430,4 +430,28 @@
     assertThat(response).contains("id: 2\n\n");
     assertThat(response).endsWith("0\r\n\r\n");
   }
+
+  @Test
+  void timeStatedByOneCallerDoesNotAffectTheRequestsOfOthers() throws Exception {
+    gateway.addApplication("one", firstUpstream);
+    for (String millis : List.of("9223372036854775807", "9000000000000000")) {
+      firstUpstream.respondToNextRequest(OK_RESPONSE).respondToNextRequest(OK_RESPONSE);
+
+      assertThat(
+              gateway.sendAndReadAll(get("/once/x").replace("Id:", "Wait: " + millis + "\r\nId:")))
+          .endsWith("done");
+      assertThat(gateway.sendAndReadAll(get("/once/y"))).endsWith("done");
+    }
+  }
+
+  @Test
+  void keepAliveTimeoutOfAnySizeLeavesTheResponseWhole() throws Exception {
+    gateway.addApplication("one", firstUpstream);
+    for (String seconds : List.of("9223372036854775807", "-9223372036854775808", "9".repeat(99))) {
+      firstUpstream.respondToNextRequest(
+          OK_RESPONSE.replace("Mark:", "Keep-Alive: timeout=" + seconds + "\r\nMark:"));
+
+      assertThat(gateway.sendAndReadAll(get("/once/x"))).endsWith("done");
+    }
+  }
 }
