Take the head of a stream as the end of its transfer

Cause: a decode counted as a transfer of the KV cache until its first event. A transfer that is not over 0.2 s before the KV cache expires, which is 0.25 s after the prefill on the users' platform, is given up and sent to another engine; a sound engine whose first event took 0.3 s lost its stream, the KV cache was gone, and the caller got 502 after 0.46 s of 4 s.

Change: the head of a stream ends the transfer, since an engine that can't fetch the KV cache refuses. From then on the stall timeout of a decode holds. An engine that sends its head only with a first event that late is still given up.

--- a/gateway/src/main/java/org/mustardlatch/gateway/EngineCalls.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/EngineCalls.java
@@ -365,7 +365,6 @@
     private final GenerationStream stream;
     private final Instance target;
     private @Nullable BufferedResponse response;
-    private boolean started;
 
     DecodeResponseListener(AttemptId attempt, GenerationStream stream, Instance target) {
       this.attempt = attempt;
@@ -380,7 +379,13 @@
 
     @Override
     public void headReceived(HttpResponse head) {
-      response = new BufferedResponse(head);
+      BufferedResponse received = new BufferedResponse(head);
+      response = received;
+      // An engine that can't fetch the KV cache refuses, so the head of a stream says that it has.
+      // Its first event may take longer than the KV cache would have been kept.
+      if (isUpstreamSuccess(received)) {
+        emit(new RoutingEvent.DecodeStarted(attempt));
+      }
     }
 
     /**
@@ -404,10 +409,6 @@
         }
         return;
       }
-      if (!started) {
-        started = true;
-        emit(new RoutingEvent.DecodeStarted(attempt));
-      }
       int before = stream.events.eventCount();
       forwardEvents(received, stream.events.append(part));
       int count = stream.events.eventCount() - before;
--- a/gateway/src/test/java/org/mustardlatch/gateway/TestGateway.java
+++ b/gateway/src/test/java/org/mustardlatch/gateway/TestGateway.java
@@ -144,13 +144,25 @@
       String id, String service, InetSocketAddress address, @Nullable EngineStage stage)
       throws Exception {
     instances.add(new Instance(id, 1, service, address, "a", 8, false, stage));
+    listInstances();
+    return this;
+  }
+
+  /**
+   * Removes the entry of an upstream, as the store does if the upstream does not report in time.
+   */
+  void removeEntry(String id) throws Exception {
+    instances.removeIf(i -> i.id().equals(id));
+    listInstances();
+  }
+
+  private void listInstances() throws Exception {
     runOnEventLoop(
         () ->
             fleet
                 .instanceListener()
                 .objectsListed(
                     instances.stream().map(i -> new StoredEntry<>(i.id(), i)).toList(), List.of()));
-    return this;
   }
 
   private void runOnEventLoop(Runnable task) throws Exception {
