--- a/daemon/src/main/java/org/mustardlatch/daemon/Daemon.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/Daemon.java
@@ -123,10 +123,7 @@
             settings.host(), store, peers.service(), routingLoop, () -> peers.liveMembers().size());
     readinessMonitor =
         new ReadinessMonitor(
-            routingLoop,
-            router::knowsFleetEvidence,
-            () -> registration.isOnlyNode() && peers.liveMembers().size() < 2,
-            this::becomeReady);
+            routingLoop, router::knowsFleetEvidence, this::isOnlyNode, this::becomeReady);
     workspaceRateLimiter =
         new WorkspaceRateLimiter(peers.service(), peers, manifest, settings.region());
     PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
@@ -289,6 +286,10 @@
     }
   }
 
+  private boolean isOnlyNode() {
+    return registration.isOnlyNode() && peers.liveMembers().size() < 2;
+  }
+
   private void becomeReady(long revision) {
     if (state.enter(NodeState.Phase.READY)) {
       EventLog.log(LogEvent.DAEMON_READY, revision);
--- a/gateway/src/test/java/org/mustardlatch/gateway/RepeatedRefusalTest.java
+++ b/gateway/src/test/java/org/mustardlatch/gateway/RepeatedRefusalTest.java
@@ -56,8 +56,8 @@
   }
 
   private static String post(String path, String id) {
-    return "POST %s HTTP/1.1\r\nHost: host\r\nId: %s\r\nConnection: close\r\nContent-Length: 1\r\n\r\np"
-        .formatted(path, id);
+    String head = "POST %s HTTP/1.1\r\nHost: host\r\nId: %s\r\nConnection: close\r\n";
+    return head.formatted(path, id) + "Content-Length: 1\r\n\r\np";
   }
 
   @ParameterizedTest
