Leave work that may not run again to its engine after a long pause

Cause: a node that was frozen for 6 s or more cancelled all its attempts when it woke and started them anew, also generations whose route allows one run.

Change: PauseRecovery leaves the attempt alone if the generation may be running and may not run again; the engine's response is read on. What may run again is replaced as before, and now counts as a run. The decisions after a pause move out of RequestCoordinator.

Measured: NodeRouterTest.leavesANonResumableGenerationToItsEngineAfterALongPause failed before (a second prefill), 32 of 32 after; RandomFaultsTest 2, UpstreamLimitFleetTest 30, CrashEvidenceCoordinatorTest 7 passed.

--- a/core/src/main/java/org/mustardlatch/core/routing/EntryRequest.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/EntryRequest.java
@@ -97,6 +97,11 @@
     return request.resumable() && generationRuns < request.maxRuns();
   }
 
+  /** Like {@link #mayGenerateAgain}, but counts the generation in progress as well. */
+  boolean mayGenerateAgainAfterThisRun() {
+    return request.resumable() && generationRuns + 1 < request.maxRuns();
+  }
+
   /** Returns the remaining output tokens for which KV memory is planned. */
   int plannedTokens() {
     return Math.max(0, request.plannedOutputTokens() - tokensSent);
--- a/core/src/main/java/org/mustardlatch/core/routing/RequestCoordinator.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/RequestCoordinator.java
@@ -52,6 +52,7 @@
   private final AttemptDriver driver;
   private final AttemptDeadlines deadlines;
   private final AttemptStarter starter;
+  private final PauseRecovery pauseRecovery;
   private final RetryBudget retryBudget =
       new RetryBudget(INITIAL_RETRY_BUDGET, MAX_NODE_RETRY_BUDGET);
   private final RetryBudget hedgeBudget = new RetryBudget(1, 5);
@@ -90,6 +91,7 @@
             driver,
             region,
             this);
+    this.pauseRecovery = new PauseRecovery(commands, requests, starter, driver, this);
   }
 
   int requestCount() {
@@ -637,39 +639,12 @@
     commands.setTimer(TIMER_KIND, q.request.id().value(), Math.max(nextCheck, commands.now() + 1));
   }
 
-  /** Replaces all attempts, which other nodes may have reclaimed during the pause. */
   void restartAfterLongPause() {
-    starter.delayNewAttempts();
-    for (EntryRequest q : requests.snapshot()) {
-      for (Attempt a : q.liveAttempts()) {
-        driver.cancel(a, Outcome.CANCELLED, false);
-      }
-      q.current = null;
-      q.hedge = null;
-      commands.explain(q.request.id(), "fenced", "this node was paused");
-      boolean expired = q.tokensSent == 0 && commands.now() >= q.request.firstTokenDeadlineNanos();
-      if (expired) {
-        refuse(q, ErrorCode.DEADLINE_EXCEEDED, "the node was paused", RETRY_AFTER);
-      } else if (!q.awaitsPermission) {
-        starter.startAttempt(q);
-      }
-    }
+    pauseRecovery.restartAfterLongPause();
   }
 
-  /** Replaces reservation requests from before the pause, so that old grants are not used. */
   void restartAfterShortPause() {
-    starter.delayNewAttempts();
-    for (EntryRequest q : requests.snapshot()) {
-      for (Attempt a : q.liveAttempts()) {
-        if (!a.granted() && a.inheritedKv == null) {
-          driver.cancel(a, Outcome.CANCELLED, false);
-          q.removeAttempt(a);
-        }
-      }
-      if (q.liveAttempts().isEmpty() && !q.awaitsPermission) {
-        starter.startAttempt(q);
-      }
-    }
+    pauseRecovery.restartAfterShortPause();
   }
 
   @Override
--- a/core/src/test/java/org/mustardlatch/core/routing/NodeRouterTest.java
+++ b/core/src/test/java/org/mustardlatch/core/routing/NodeRouterTest.java
@@ -516,6 +516,25 @@
     assertThat(commandsOfType(RoutingCommand.Refuse.class)).isEmpty();
   }
 
+  @Test
+  void leavesANonResumableGenerationToItsEngineAfterALongPause() {
+    handle(new RoutingEvent.RequestArrived(nonResumableRequest("r1")));
+    RoutingCommand.StartDecode d =
+        finishPrefill(lastCommandOfType(RoutingCommand.StartPrefill.class));
+    handle(new RoutingEvent.DecodeStarted(d.attempt()));
+    commands.clear();
+
+    now += 7 * SECOND;
+    handle(new RoutingEvent.TokensArrived(d.attempt(), 40));
+    now += SECOND / 4;
+    handle(new RoutingEvent.TimerFired(new TimerKey(RequestCoordinator.TIMER_KIND, "r1")));
+    handle(new RoutingEvent.DecodeFinished(d.attempt()));
+
+    assertThat(commandsOfType(RoutingCommand.StartPrefill.class)).isEmpty();
+    assertThat(commandsOfType(RoutingCommand.CancelAttempt.class)).isEmpty();
+    assertThat(commandsOfType(RoutingCommand.Complete.class)).hasSize(1);
+  }
+
   private void applyReservableManifest() {
     Manifest m = Fixtures.manifest(Objective.WASTE_AVERSE, Fixtures.enginePools(2, 2));
     Model model = m.models().getFirst();
--- a/gateway/src/test/java/org/mustardlatch/gateway/RepeatedRefusalTest.java
+++ b/gateway/src/test/java/org/mustardlatch/gateway/RepeatedRefusalTest.java
@@ -56,8 +56,16 @@
   }
 
   private static String post(String path, String id) {
-    String head = "POST %s HTTP/1.1\r\nHost: host\r\nId: %s\r\nConnection: close\r\n";
-    return head.formatted(path, id) + "Content-Length: 1\r\n\r\np";
+    return """
+        POST %s HTTP/1.1
+        Host: host
+        Id: %s
+        Connection: close
+        Content-Length: 1
+
+        p"""
+        .formatted(path, id)
+        .replace("\n", "\r\n");
   }
 
   @ParameterizedTest
