--- a/review/standins/review/Rig.java
+++ b/review/standins/review/Rig.java
@@ -255,16 +255,17 @@
     int run(Rig rig) throws Exception;
   }
 
-  static void main(Path caseFolder, Case c) throws IOException {
-    int result;
+  static void main(Path caseFolder, Case c) {
+    int result = COULD_NOT_RUN;
     try (Rig rig = new Rig(caseFolder)) {
       try {
         result = c.run(rig);
       } catch (Exception e) {
         rig.conclude("the case could not run: " + e);
         e.printStackTrace();
-        result = COULD_NOT_RUN;
       }
+    } catch (IOException e) {
+      System.out.println("the case could not run: " + e);
     }
     Runtime.getRuntime().halt(result);
   }
--- a/review/standins/review/UploadAtStop.java
+++ b/review/standins/review/UploadAtStop.java
@@ -15,9 +15,9 @@
  */
 final class UploadAtStop {
   private static final int NODES = 8;
-  private static final int CALLERS_PER_NODE = 10;
+  private static final int CALLERS_PER_NODE = 16;
   private static final long BODY_GAP_MILLIS = 250;
-  private static final long WORK_MILLIS = 20;
+  private static final long WORK_MILLIS = 15;
   private static final long TIME_LIMIT_MILLIS = 800;
   private static final long BETWEEN_STOPS_MILLIS = 6_000;
   private static final double GRACE_SECONDS = 8;
