Take no response without the request's id for the response to the request

Change: a response to a request with an id must repeat it; others are skipped, the call waits for its own response, and the connection is closed after it. Of the requests without an id, one that may not be repeated gets a connection of its own (the same fault in calls without ids).

The prefill of UnframedResponseTest's engine had no id, which servers repeat in every response; it has one now, its checks are unchanged.

--- a/gateway/src/main/java/org/mustardlatch/gateway/RoutedExchange.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/RoutedExchange.java
@@ -177,9 +177,10 @@
         : new CallRequest(id, head, caller.body(), repeatable, this::isResponseToThisRequest);
   }
 
+  /** Upstreams repeat the id in every response, so one without an id belongs to no request. */
   private boolean isResponseToThisRequest(HttpResponse response) {
     String id = protocol.readResponse(response).requestId();
-    return id == null || id.equals(metadata.requestId());
+    return id != null && id.equals(metadata.requestId());
   }
 
   /**
--- a/gateway/src/main/java/org/mustardlatch/gateway/http/CallRequest.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/http/CallRequest.java
@@ -18,8 +18,9 @@
   private final long maxResponseBytes;
 
   /**
-   * Creates a request without an id. Its connection only carries such requests, since a late copy
-   * of its response could pass for the response to another request.
+   * Creates a request without an id. Its connection only carries such requests, and only one if it
+   * is not repeatable, since a late copy of its response could pass for the response to another
+   * request.
    *
    * @param head method, target and headers; the Content-Length is set when the request is sent
    * @param body the whole body; not copied
@@ -38,8 +39,8 @@
    * @param head method, target and headers; the Content-Length is set when the request is sent
    * @param body the whole body; not copied
    * @param repeatable whether the sender can repeat it after a failure
-   * @param responseMatcher tests whether a response has the id; others on the connection are
-   *     skipped
+   * @param responseMatcher tests whether a response has the id; others on the connection, also those
+   *     without an id, are skipped, and the connection is closed after the call
    */
   public CallRequest(
       String id,
--- a/gateway/src/main/java/org/mustardlatch/gateway/http/UpstreamConnection.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/http/UpstreamConnection.java
@@ -76,11 +76,15 @@
 
   /**
    * Returns whether a late copy of an earlier response on this connection could not be taken for
-   * the response to the request.
+   * the response to the request. Among requests without ids that may be repeated it could be, which
+   * is harmless.
    */
   boolean canTellResponsesOf(CallRequest request) {
     String id = request.id();
-    return id == null ? requestIds.isEmpty() : !carriedRequestWithoutId && !requestIds.contains(id);
+    if (id == null) {
+      return requestIds.isEmpty() && (request.repeatable() || !carriedRequestWithoutId);
+    }
+    return !carriedRequestWithoutId && !requestIds.contains(id);
   }
 
   void send(Call next, CallRequest request) {
--- a/gateway/src/test/java/org/mustardlatch/gateway/DataPathTest.java
+++ b/gateway/src/test/java/org/mustardlatch/gateway/DataPathTest.java
@@ -13,6 +13,8 @@
 import java.net.SocketException;
 import java.util.List;
 import java.util.Locale;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -266,6 +268,36 @@
     assertThat(response).doesNotContain("wrong");
   }
 
+  @Test
+  void refusalWithoutAnIdIsNotTheResponseToTheRequestThatRuns() throws Exception {
+    gateway.addApplication("one", firstUpstream);
+    firstUpstream
+        .respondToNextRequest(OK_RESPONSE)
+        .respondToNextRequest(
+            "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+                + OK_RESPONSE.replace("q1", "q2"));
+
+    assertThat(gateway.sendAndReadAll(post("/once/x", "first"))).endsWith("done");
+    assertThat(gateway.sendAndReadAll(post("/once/y", "second").replace("q1", "q2")))
+        .endsWith("done");
+  }
+
+  @Test
+  void sendsEachNonIdempotentRequestWithoutAnIdOnAConnectionOfItsOwn() throws Exception {
+    gateway.addApplication("one", firstUpstream);
+    Set<Socket> connections = ConcurrentHashMap.newKeySet();
+    for (int i = 0; i < 2; i++) {
+      firstUpstream.onNextRequest(
+          (socket, out, request) -> {
+            connections.add(socket);
+            out.write(OK_RESPONSE.replace("Id: q1\r\n", "").getBytes(UTF_8));
+          });
+      assertThat(gateway.sendAndReadAll(post("/once/x", "p").replace("Id: q1\r\n", "")))
+          .endsWith("done");
+    }
+    assertThat(connections).hasSize(2);
+  }
+
   @Test
   void doesNotForwardASuccessfulResponseWithoutTheStampOfAnUpstream() throws Exception {
     gateway.addApplication("one", firstUpstream);
--- a/gateway/src/test/java/org/mustardlatch/gateway/RefusingEngine.java
+++ b/gateway/src/test/java/org/mustardlatch/gateway/RefusingEngine.java
@@ -25,7 +25,9 @@
     AT_ONCE,
     AFTER_5_MS,
     WITH_NEXT_REQUEST,
-    WITH_NEXT_STREAM
+    WITH_NEXT_STREAM,
+    /** With the next request, and without the id of the refused one. */
+    WITHOUT_ID
   }
 
   private static final Pattern ID = Pattern.compile("\r\nid: *(\\S+)", Pattern.CASE_INSENSITIVE);
@@ -93,7 +95,7 @@
         Matcher m = ID.matcher(head);
         String id = m.find() ? m.group(1) : "none";
         String part = part(head);
-        if (copy == Copy.WITH_NEXT_REQUEST || isStream(part)) {
+        if (copy != Copy.WITH_NEXT_STREAM || isStream(part)) {
           write(s, pendingCopy);
           pendingCopy = "";
         }
@@ -110,6 +112,7 @@
               writeCopy(s, refusal);
             }
             case WITH_NEXT_REQUEST, WITH_NEXT_STREAM -> pendingCopy = refusal;
+            case WITHOUT_ID -> pendingCopy = refusal.replace("Id: " + id + "\r\n", "");
           }
           if (!pendingCopy.isEmpty()) {
             copies.add(pendingCopy);
--- a/gateway/src/test/java/org/mustardlatch/gateway/UnframedResponseTest.java
+++ b/gateway/src/test/java/org/mustardlatch/gateway/UnframedResponseTest.java
@@ -27,7 +27,8 @@
       "HTTP/1.1 200 OK\r\nId: q1\r\nMark: m\r\nContent-Type: text/event-stream\r\n\r\n";
   private static final String JSON_HEAD =
       "HTTP/1.1 200 OK\r\nId: q1\r\nMark: m\r\nContent-Type: application/json\r\n\r\n";
-  private static final String PREFILL_RESPONSE = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nkv";
+  private static final String PREFILL_RESPONSE =
+      "HTTP/1.1 200 OK\r\nId: q1\r\nContent-Length: 2\r\n\r\nkv";
   private static final String EVENT_1 = "id: 1\ndata: a\n\n";
   private static final String EVENT_2 = "id: 2\ndata: b\n\n";
 
