Break off streams that end inside an event, repeat events or change into an error

A resumed stream of an engine that ignored Last-Event-ID and started again was forwarded from event 1, so events came twice. A 2xx of another media type in place of the rest of a stream was forwarded as its rest.

Change: a stream ends after an event, however it is framed; otherwise it was broken off and goes on elsewhere where it may. The same holds for event streams of applications. Of a resumed stream, events up to the last one that was forwarded break it off, and its response must be an event stream if it states a media type.

--- a/gateway/src/main/java/org/mustardlatch/gateway/EngineCalls.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/EngineCalls.java
@@ -1,7 +1,7 @@
 package org.mustardlatch.gateway;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
 import java.time.Duration;
 import java.util.HashMap;
@@ -25,6 +25,7 @@
 import org.mustardlatch.gateway.http.CallListener;
 import org.mustardlatch.gateway.http.CallRequest;
 import org.mustardlatch.gateway.http.CallerExchange;
+import org.mustardlatch.gateway.http.EventStreams;
 import org.mustardlatch.gateway.http.ResponseEnd;
 import org.mustardlatch.gateway.log.EventLog;
 import org.mustardlatch.gateway.log.LogEvent;
@@ -364,12 +365,15 @@
     private final AttemptId attempt;
     private final GenerationStream stream;
     private final Instance target;
+    private final boolean resumed;
     private @Nullable BufferedResponse response;
 
     DecodeResponseListener(AttemptId attempt, GenerationStream stream, Instance target) {
       this.attempt = attempt;
       this.stream = stream;
       this.target = target;
+      this.resumed = stream.exchange.caller().responseStarted();
+      stream.events.resume();
     }
 
     @Override
@@ -390,10 +394,17 @@
 
     /**
      * Returns whether the response is the event stream. A successful response without the stamp of
-     * an upstream is not one.
+     * an upstream is not one, nor is one of another media type in place of the rest of a stream.
      */
     private boolean isUpstreamSuccess(BufferedResponse received) {
-      return received.succeeded() && protocol.readResponse(received.head()).hasUpstreamStamp();
+      return received.succeeded()
+          && protocol.readResponse(received.head()).hasUpstreamStamp()
+          && (!resumed || mayBeEventStream(received));
+    }
+
+    private static boolean mayBeEventStream(BufferedResponse received) {
+      String contentType = received.head().headers().get(HttpHeaderNames.CONTENT_TYPE);
+      return contentType == null || EventStreams.isEventStream(contentType);
     }
 
     @Override
@@ -418,10 +429,12 @@
       }
       if (stream.events.eventTooLong()) {
         abandon("event exceeds " + SseEventSplitter.MAX_EVENT_BYTES + " bytes");
+      } else if (stream.events.repeating()) {
+        abandon("event after " + stream.events.lastEventId() + " repeats an earlier one");
       }
     }
 
-    /** Closes the connection of a response that would fill the memory. */
+    /** Closes the connection of a response whose rest is of no use. */
     private void abandon(String reason) {
       ActiveCall active = calls.get(attempt);
       if (active != null) {
@@ -464,10 +477,9 @@
         return;
       }
       stream.end = end;
-      if (isUpstreamSuccess(received) && isBrokenOff(end)) {
-        callBroken(call, CallFailure.BROKEN, "connection closed inside an event");
+      if (isUpstreamSuccess(received) && !endsAfterEvent()) {
+        callBroken(call, CallFailure.BROKEN, "response ended inside an event");
       } else if (isUpstreamSuccess(received)) {
-        forwardEvents(received, Unpooled.wrappedBuffer(stream.events.incompleteEventBytes()));
         beginCallerResponse(received);
         emit(new RoutingEvent.DecodeFinished(attempt));
       } else if (protocol.readResponse(received.head()).notExecuted()) {
@@ -483,15 +495,14 @@
     }
 
     /**
-     * Returns whether a stream that only its connection delimits was cut off. A whole stream ends
-     * after an event; it has no event only if the caller resumes after the last one.
+     * Returns whether the stream ends where a whole one does, which its framing does not tell: the
+     * server of a failed engine may end the response in order. A whole stream has no event only if
+     * the caller resumes after the last one.
      */
-    private boolean isBrokenOff(ResponseEnd end) {
+    private boolean endsAfterEvent() {
       boolean mayBeEmpty = stream.exchange.caller().head().headers().contains(LAST_EVENT_ID);
-      boolean endsAfterEvent =
-          stream.events.incompleteEventBytes().length == 0
-              && (mayBeEmpty || stream.events.eventCount() > 0);
-      return end == ResponseEnd.CONNECTION_CLOSE && !endsAfterEvent;
+      return stream.events.incompleteEventBytes().length == 0
+          && (mayBeEmpty || stream.events.eventCount() > 0);
     }
 
     @Override
--- a/gateway/src/main/java/org/mustardlatch/gateway/http/BufferedResponseListener.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/http/BufferedResponseListener.java
@@ -29,16 +29,23 @@
   @Override
   public final void completed(ResponseEnd end) {
     BufferedResponse r = requireResponse();
-    String contentType = r.head().headers().get(HttpHeaderNames.CONTENT_TYPE);
-    if (end == ResponseEnd.CONNECTION_CLOSE
-        && EventStreams.isEventStream(contentType)
-        && !EventStreams.endsAfterEvent(r.body())) {
-      failed(CallFailure.BROKEN, "connection closed inside an event");
+    if (endsInsideEvent(r, end)) {
+      failed(CallFailure.BROKEN, "response ended inside an event");
     } else {
       responseReceived(r);
     }
   }
 
+  /** Framing alone tells that an error response or an empty one is complete. */
+  private static boolean endsInsideEvent(BufferedResponse r, ResponseEnd end) {
+    String contentType = r.head().headers().get(HttpHeaderNames.CONTENT_TYPE);
+    boolean mayBeCutOff =
+        end == ResponseEnd.CONNECTION_CLOSE || (r.succeeded() && r.length() > 0);
+    return mayBeCutOff
+        && EventStreams.isEventStream(contentType)
+        && !EventStreams.endsAfterEvent(r.body());
+  }
+
   private BufferedResponse requireResponse() {
     return Objects.requireNonNull(response, "no response head received");
   }
--- a/gateway/src/main/java/org/mustardlatch/gateway/http/EventStreams.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/http/EventStreams.java
@@ -15,8 +15,8 @@
   }
 
   /**
-   * Returns whether the body of an event stream ends with an event, that is with an empty line. A
-   * stream that only its connection delimits was cut off otherwise.
+   * Returns whether the body of an event stream ends with an event, that is with an empty line. The
+   * stream was cut off otherwise, however its response is framed.
    */
   public static boolean endsAfterEvent(byte[] body) {
     int lineEnd = startOfLineBreak(body, body.length);
--- a/gateway/src/test/java/org/mustardlatch/gateway/SseEventSplitterTest.java
+++ b/gateway/src/test/java/org/mustardlatch/gateway/SseEventSplitterTest.java
@@ -39,4 +39,30 @@
     assertThat(append("id: 1\r\n\r\n")).isEqualTo("id: 1\r\n\r\n");
     assertThat(splitter.lastEventId()).isEqualTo("1");
   }
+
+  @Test
+  void discardsWhatAResumedStreamRepeats() {
+    append("id: 9\n\nid: 10\n\nid: 11\nda");
+    splitter.resume();
+
+    assertThat(append("id: 11\n\nid: 10\n\nid: 12\n\n")).isEqualTo("id: 11\n\n");
+    assertThat(splitter.repeating()).isTrue();
+    assertThat(append("id: 13\n\n")).isEmpty();
+    assertThat(splitter.lastEventId()).isEqualTo("11");
+  }
+
+  @Test
+  void recognizesARepeatedEventWhoseIdIsNoNumber() {
+    append("id: a\n\n");
+    splitter.resume();
+
+    assertThat(append("id: a\n\n")).isEmpty();
+    assertThat(splitter.repeating()).isTrue();
+  }
+
+  @Test
+  void firstRunOfAStreamMayHaveIdsInAnyOrder() {
+    assertThat(append("id: 2\n\nid: 1\n\n")).isEqualTo("id: 2\n\nid: 1\n\n");
+    assertThat(splitter.repeating()).isFalse();
+  }
 }
