Answer every request that a stopping node has read, or refuse it as not run

Cause: a stop polled the number of requests every 50 ms.

Change: PlannedStop (core) has the phases of a stop and decides which requests are accepted: all until the load balancer has noticed, then those that end in time, others are refused as not run. The node ends when its last connection is closed. Each response, streams included, closes its connection. Events 8040 and 8041 tell the phases.

--- a/gateway/src/main/java/org/mustardlatch/gateway/ApplicationRequestHandler.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/ApplicationRequestHandler.java
@@ -110,6 +110,11 @@
     return request != null;
   }
 
+  /** Ends all requests with an error, or the server error that an upstream responded with. */
+  void failAll(ErrorCode code, String reason) {
+    List.copyOf(activeRequests.values()).forEach(r -> r.end(code, reason, Duration.ZERO));
+  }
+
   private RetryBudget retryBudget(String service) {
     return retryBudgets.computeIfAbsent(
         service, s -> RetryLimits.budgetPerNode(settings, liveNodeCount.getAsInt()));
@@ -307,25 +312,22 @@
      * an upstream sent to an earlier attempt, or this error if there was none.
      */
     private void failIfNoActiveAttempt(ErrorCode code, String reason) {
-      if (!activeAttempts.isEmpty()) {
-        return;
-      }
-      BufferedResponse error = serverError;
-      close();
-      if (error != null) {
-        exchange.sendResponse(error, "last_server_error");
-      } else {
-        exchange.fail(code, reason, RetryLimits.retryAfter(exchange, timers.nanos(), random));
+      if (activeAttempts.isEmpty()) {
+        end(code, reason, RetryLimits.retryAfter(exchange, timers.nanos(), random));
       }
     }
 
     private void onDeadline() {
+      end(ErrorCode.DEADLINE_EXCEEDED, "deadline passed", Duration.ZERO);
+    }
+
+    private void end(ErrorCode code, String reason, Duration retryAfter) {
       BufferedResponse error = serverError;
       close();
       if (error != null) {
         exchange.sendResponse(error, "last_server_error");
       } else {
-        exchange.fail(ErrorCode.DEADLINE_EXCEEDED, "deadline passed", Duration.ZERO);
+        exchange.fail(code, reason, retryAfter);
       }
     }
 
--- a/gateway/src/main/java/org/mustardlatch/gateway/Gateway.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/Gateway.java
@@ -11,6 +11,7 @@
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
 import org.mustardlatch.core.error.ErrorCode;
+import org.mustardlatch.core.lifecycle.PlannedStop;
 import org.mustardlatch.core.model.UpstreamId;
 import org.mustardlatch.core.routing.RoutingEvent;
 import org.mustardlatch.core.time.TimerService;
@@ -41,8 +42,11 @@
   private static final Duration NOT_READY_RETRY_AFTER = Duration.ofMillis(300);
   // Peers that are alive respond within a few round trips after this node has joined.
   private static final Duration MAX_EVIDENCE_WAIT = Duration.ofSeconds(2);
-  private static final Duration DRAIN_POLL_INTERVAL = Duration.ofMillis(50);
+  // Left of the grace period to write the last responses and to end the process.
   private static final Duration GRACE_PERIOD_MARGIN = Duration.ofMillis(400);
+  private static final Duration LAST_RESPONSES_TIME = Duration.ofMillis(100);
+  // Other nodes accept the request now.
+  private static final Duration STOPPING_RETRY_AFTER = Duration.ofMillis(50);
 
   private final GatewaySettings settings;
   private final TimerService timers;
@@ -59,10 +63,9 @@
   private final CountDownLatch drained = new CountDownLatch(1);
   private final Map<String, Long> firstAttemptTimeoutMillis = new HashMap<>();
   private final GatewayMetrics metrics = new GatewayMetrics();
-  private boolean draining;
+  private final PlannedStop stop;
   private boolean wasReady;
   private boolean evidenceWaitOver;
-  private long drainStartNanos;
 
   /** Creates a data path that does not accept connections until {@link #start}. */
   public Gateway(
@@ -75,6 +78,7 @@
       long incarnation,
       RandomGenerator random) {
     this.settings = settings;
+    this.stop = plannedStop(settings.gracePeriod());
     this.timers = timers;
     this.fleet = fleet;
     this.protocol = protocol;
@@ -107,7 +111,7 @@
     if (metricsServer != null) {
       metrics.registerGauge(
           "mustardlatch.open.requests",
-          () -> applicationHandler.openRequests() + generationHandler.openRequests());
+          this::openRequests);
       metrics.registerGauge("mustardlatch.upstreams", () -> fleet.instances().size());
       metricsServer.addPage(
           "/metrics",
@@ -154,35 +158,43 @@
     return callerServer.address();
   }
 
+  private static PlannedStop plannedStop(Duration gracePeriod) {
+    Duration finishTime = gracePeriod.minus(GRACE_PERIOD_MARGIN);
+    boolean isLong = finishTime.compareTo(LOAD_BALANCER_REACTION_TIME) > 0;
+    return new PlannedStop(
+        LOAD_BALANCER_REACTION_TIME, isLong ? finishTime : LOAD_BALANCER_REACTION_TIME);
+  }
+
   /**
    * Reports not ready, finishes the requests in progress within the grace period and then releases
-   * {@link #awaitDrained}. Must be called on the event loop.
+   * {@link #awaitDrained}; {@link PlannedStop} has the phases. Must be called on the event loop.
    */
   public void drain() {
-    if (draining) {
+    if (!stop.request(timers.nanos())) {
       return;
     }
-    draining = true;
-    drainStartNanos = timers.nanos();
-    EventLog.log(
-        LogEvent.DAEMON_DRAINING,
-        applicationHandler.openRequests() + generationHandler.openRequests());
+    EventLog.log(LogEvent.DAEMON_DRAINING, openRequests());
     callerServer.drain();
     peers.leave();
-    timers.schedule(LOAD_BALANCER_REACTION_TIME, callerServer::closeListenerAndIdleConnections);
-    timers.schedule(LOAD_BALANCER_REACTION_TIME, this::pollOpenRequests);
+    timers.schedule(LOAD_BALANCER_REACTION_TIME, this::finish);
+    timers.schedule(settings.gracePeriod().minus(GRACE_PERIOD_MARGIN), this::endStop);
   }
 
-  private void pollOpenRequests() {
-    callerServer.closeListenerAndIdleConnections();
-    long elapsed = timers.nanos() - drainStartNanos;
-    boolean graceOver = elapsed >= settings.gracePeriod().minus(GRACE_PERIOD_MARGIN).toNanos();
-    if (graceOver || applicationHandler.openRequests() + generationHandler.openRequests() == 0) {
-      // Leaves time to write the last responses to their connections.
-      timers.schedule(DRAIN_POLL_INTERVAL, drained::countDown);
-    } else {
-      timers.schedule(DRAIN_POLL_INTERVAL, this::pollOpenRequests);
-    }
+  private int openRequests() {
+    return applicationHandler.openRequests() + generationHandler.openRequests();
+  }
+
+  private void finish() {
+    EventLog.log(LogEvent.STOP_FINISHING, callerServer.connectionCount(), openRequests());
+    callerServer.finish(drained::countDown);
+  }
+
+  /** Answers what can't be finished any more, and ends. */
+  private void endStop() {
+    EventLog.log(LogEvent.STOP_ENDING, callerServer.connectionCount(), openRequests());
+    applicationHandler.failAll(ErrorCode.DRAINING, "this node is stopping");
+    generationHandler.failAll(ErrorCode.DRAINING, "this node is stopping");
+    timers.schedule(LAST_RESPONSES_TIME, drained::countDown);
   }
 
   /** Blocks until a drain has ended. */
@@ -201,7 +213,7 @@
   }
 
   private boolean ready() {
-    return !draining && fleet.configuration() != null && evidenceKnown();
+    return !stop.requested() && fleet.configuration() != null && evidenceKnown();
   }
 
   private PageServer.Page readiness() {
@@ -210,7 +222,7 @@
       return new PageServer.Page(200, "text/plain", "ready\n");
     }
     String reason =
-        draining
+        stop.requested()
             ? "draining"
             : fleet.configuration() == null ? "no configuration" : "waiting for peers";
     return new PageServer.Page(503, "text/plain", reason + "\n");
@@ -268,6 +280,10 @@
             protocol,
             firstAttemptTimeout(route, metadata),
             metrics);
+    if (!stop.accepts(timers.nanos(), exchange.deadlineNanos())) {
+      exchange.fail(ErrorCode.DRAINING, "this node is stopping", STOPPING_RETRY_AFTER);
+      return;
+    }
     if (service.engine() != null && route.kind() == RequestKind.STREAMING) {
       generationHandler.start(exchange);
     } else {
--- a/gateway/src/main/java/org/mustardlatch/gateway/GenerationRequestHandler.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/GenerationRequestHandler.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
+import org.mustardlatch.core.error.ErrorCode;
 import org.mustardlatch.core.model.AttemptId;
 import org.mustardlatch.core.model.Fingerprint;
 import org.mustardlatch.core.model.ModelId;
@@ -247,6 +248,15 @@
     return true;
   }
 
+  /** Ends all requests with an error; streams that have begun are broken off. */
+  void failAll(ErrorCode code, String reason) {
+    for (GenerationStream s : List.copyOf(streams.values())) {
+      removeStream(s);
+      runner.handle(new RoutingEvent.CallerDisconnected(s.id));
+      s.exchange.fail(code, reason, Duration.ZERO);
+    }
+  }
+
   private void removeStream(GenerationStream s) {
     streams.remove(s.id);
     streamsByCaller.remove(s.exchange.caller());
--- a/gateway/src/main/java/org/mustardlatch/gateway/http/CallerConnection.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/http/CallerConnection.java
@@ -187,7 +187,7 @@
   }
 
   void endResponse() {
-    finishExchange(channel.writeAndFlush(new DefaultLastHttpContent()), !keepAlive);
+    finishExchange(channel.writeAndFlush(new DefaultLastHttpContent()), mustClose());
   }
 
   private void finishExchange(io.netty.channel.ChannelFuture sent, boolean close) {
--- a/gateway/src/main/java/org/mustardlatch/gateway/http/CallerServer.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/http/CallerServer.java
@@ -37,6 +37,8 @@
   private final Set<CallerConnection> connections = new HashSet<>();
   private @Nullable Channel listener;
   private boolean draining;
+  private boolean finishing;
+  private Runnable finishedTask = () -> {};
 
   /** Creates a server that does not listen before {@link #start}. */
   public CallerServer(
@@ -89,12 +91,32 @@
     draining = true;
   }
 
-  /** Stops accepting connections and closes those without a request in progress. */
-  public void closeListenerAndIdleConnections() {
+  /**
+   * Stops accepting connections and closes those without a request in progress; the others are
+   * closed after their response.
+   *
+   * @param allClosed runs once, when no connection is left
+   */
+  public void finish(Runnable allClosed) {
+    finishing = true;
+    finishedTask = allClosed;
     if (listener != null) {
       var unused = listener.close();
     }
     new ArrayList<>(connections).forEach(CallerConnection::closeIfIdle);
+    checkFinished();
+  }
+
+  private void checkFinished() {
+    if (finishing && connections.isEmpty()) {
+      finishing = false;
+      finishedTask.run();
+    }
+  }
+
+  /** Returns the number of open connections. */
+  public int connectionCount() {
+    return connections.size();
   }
 
   CallerHandler handler() {
@@ -123,5 +145,6 @@
 
   void connectionClosed(CallerConnection c) {
     connections.remove(c);
+    checkFinished();
   }
 }
--- a/gateway/src/main/java/org/mustardlatch/gateway/log/LogEvent.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/log/LogEvent.java
@@ -71,6 +71,8 @@
   CALL_BROKEN(8034, Level.INFO, "request={} content={} upstream={} probed after its call broke"),
   CALL_ABANDONED(
       8039, Level.INFO, "request={} content={} upstream={} observed after its call was cancelled"),
+  STOP_FINISHING(8040, Level.INFO, "accepting no connections, open connections={} requests={}"),
+  STOP_ENDING(8041, Level.WARN, "grace period nearly over, open connections={} requests={}"),
   UPSTREAM_PROBED(8035, Level.INFO, "upstream={} new_connection={} crashed={}"),
   KV_NOT_FREED(8028, Level.WARN, "kv={} upstream={} not freed reason={}");
 
--- a/gateway/src/test/java/org/mustardlatch/gateway/TestGateway.java
+++ b/gateway/src/test/java/org/mustardlatch/gateway/TestGateway.java
@@ -13,6 +13,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.mustardlatch.core.model.HostId;
@@ -35,6 +37,9 @@
  * (idempotent) to applications, /stream/ and /resumable/ to engines.
  */
 final class TestGateway implements AutoCloseable {
+  /** Time that a planned stop may take. */
+  static final Duration GRACE_PERIOD = Duration.ofSeconds(4);
+
   private static final InetSocketAddress ANY_PORT =
       new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
 
@@ -68,7 +73,7 @@
             List.of(),
             0.2,
             40,
-            Duration.ofSeconds(4));
+            GRACE_PERIOD);
     gateway =
         new Gateway(
             settings,
@@ -169,6 +174,19 @@
     loop.submit(task).get(5, TimeUnit.SECONDS);
   }
 
+  /** Starts a planned stop; returns a future that completes when the process would end. */
+  Future<?> drain() throws Exception {
+    runOnEventLoop(gateway::drain);
+    return CompletableFuture.runAsync(
+        () -> {
+          try {
+            gateway.awaitDrained();
+          } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+          }
+        });
+  }
+
   /** Opens a TCP connection to the gateway. */
   Socket connect() throws IOException {
     Socket s = new Socket(InetAddress.getLoopbackAddress(), gateway.callerAddress().getPort());
