Leave a silent stream at its engine until another one is ready to continue it

Cause: a decode without events for 2 s, or without a head shortly before its KV cache expired, was cancelled first, and only then another engine was looked for. Refusals by engines before the stream began counted against it later.

Change: StalledStreamMover requests a second attempt and keeps the first until the second has its prompt read (or, with the same KV cache, its grant). Events that arrive meanwhile drop the second one. Without another engine, a run, budget or time left, the stream stays where it is. Its reservation is renewed while it is silent. Refusals by engines are counted since the last decode began.

--- a/core/src/main/java/org/mustardlatch/core/routing/EntryRequest.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/EntryRequest.java
@@ -27,7 +27,7 @@
 
   /**
    * Second attempt, requested because the current one has a long wait in the queue (in a remote
-   * cell) or a late prefill (in the same cell); or null.
+   * cell), or a late prefill or a silent decode (in the same cell); or null.
    */
   @Nullable Attempt hedge;
 
@@ -58,9 +58,12 @@
   /** Number of engines that may have started to generate the response. */
   int generationRuns;
 
-  /** Number of times that a decode engine did not reserve a slot. */
+  /** Number of times that a decode engine did not reserve a slot since the last decode began. */
   int engineRefusals;
 
+  /** Monotonic time before which no other engine is requested for a silent decode. */
+  long nextReplacementNanos = Long.MIN_VALUE;
+
   private int attemptCount;
 
   EntryRequest(GenerationRequest request, long arrivedNanos) {
--- a/core/src/main/java/org/mustardlatch/core/routing/RequestCoordinator.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/RequestCoordinator.java
@@ -28,9 +28,6 @@
 final class RequestCoordinator implements AttemptStarter.RequestCallbacks {
   static final String TIMER_KIND = "request";
 
-  /** A KV cache that expires sooner than this is not reused on another decode engine. */
-  private static final long MIN_KV_TIME_LEFT_NANOS = 150_000_000;
-
   // Limits the fleet to some tens of extra attempts when all nodes spend their saved budgets.
   private static final double FLEET_RETRY_BUDGET = 48;
   private static final int MIN_NODES = 8;
@@ -53,6 +50,7 @@
   private final AttemptDeadlines deadlines;
   private final AttemptStarter starter;
   private final PauseRecovery pauseRecovery;
+  private final StalledStreamMover stalledStreams;
   private final RetryBudget retryBudget =
       new RetryBudget(INITIAL_RETRY_BUDGET, MAX_NODE_RETRY_BUDGET);
   private final RetryBudget hedgeBudget = new RetryBudget(1, 5);
@@ -81,6 +79,7 @@
     this.crossRegionPolicy = new CrossRegionPolicy(commands, settings, cellChooser);
     this.topology = topology;
     this.driver = new AttemptDriver(commands, region, topology);
+    this.stalledStreams = new StalledStreamMover(commands, driver);
     this.starter =
         new AttemptStarter(
             env,
@@ -197,6 +196,14 @@
       driver.declineGrant(from, grant);
       return;
     }
+    if (StalledStreamMover.isReplacement(q, a)) {
+      if (!stalledStreams.isUseful(q, a, grant.decode()) || !retryBudget.tryAcquire()) {
+        driver.declineGrant(from, grant);
+        stalledStreams.drop(q, "no other engine, retry budget or time for its KV cache");
+        return;
+      }
+      stalledStreams.granted(q, a);
+    }
     String detail = "cell=" + a.cell.name() + " prefill=" + grant.prefill();
     commands.explain(q.request.id(), "reserved", detail + " decode=" + grant.decode());
     q.refusedCells.clear();
@@ -297,8 +304,17 @@
       commands.emit(new RoutingCommand.ReleaseKv(handle));
       return;
     }
+    boolean late = commands.now() > deadlines.firstTokenCutoffNanos(q, a);
+    if (StalledStreamMover.isReplacement(q, a)) {
+      if (late || commands.now() >= handle.expiresNanos()) {
+        commands.emit(new RoutingCommand.ReleaseKv(handle));
+        stalledStreams.drop(q, "its prefill is late");
+        return;
+      }
+      stalledStreams.takeOver(q, a);
+    }
     cancelOtherAttempt(q, a);
-    if (commands.now() > deadlines.firstTokenCutoffNanos(q, a)) {
+    if (late) {
       commands.emit(new RoutingCommand.ReleaseKv(handle));
       driver.releaseReservation(a, Outcome.CANCELLED);
       q.current = null;
@@ -338,6 +354,8 @@
     if (requests.find(id) instanceof LiveAttempt(EntryRequest q, Attempt a)
         && a.state == Attempt.State.TRANSFER) {
       a.enterState(Attempt.State.DECODE, commands.now());
+      q.engineRefusals = 0;
+      stalledStreams.progressed(q, a);
       DecodeProgressMonitor.start(q, a, commands.now());
       driver.renewReservation(q, a, Stage.DECODE);
       updateTimer(q);
@@ -353,6 +371,7 @@
     }
     q.tokensSent += count;
     a.lastProgressNanos = commands.now();
+    stalledStreams.progressed(q, a);
   }
 
   void decodeFinished(AttemptId id) {
@@ -401,7 +420,7 @@
         handle != null
             && (!mayHaveRun || q.mayGenerateAgain())
             && failure != Failure.KV_EXPIRED
-            && handle.expiresNanos() - commands.now() >= MIN_KV_TIME_LEFT_NANOS
+            && handle.expiresNanos() - commands.now() >= StalledStreamMover.MIN_KV_TIME_LEFT_NANOS
             && q.attemptCount() < MAX_ATTEMPTS;
     if (FailureRules.mayStillRun(failure)) {
       driver.cancel(a, Outcome.FAILED, reuseKv);
@@ -517,10 +536,8 @@
       case PREFILL -> checkPrefill(q, a);
       case TRANSFER -> {
         KvHandle h = a.kvHandle;
-        if (h != null
-            && q.mayGenerateAgain()
-            && now >= AttemptDeadlines.transferDeadlineNanos(a, h)) {
-          attemptFailed(q, a, a.decodeEngine, Failure.STALLED);
+        if (h != null && now >= AttemptDeadlines.transferDeadlineNanos(a, h)) {
+          stalledStreams.transferStalled(q, a, h);
         }
       }
       case DECODE -> {
@@ -528,10 +545,8 @@
           case ON_TRACK -> {}
           case RENEWAL_DUE -> driver.renewReservation(q, a, Stage.DECODE);
           case STALLED -> {
-            // A silent engine may still be running; only work that may be repeated is moved.
-            if (q.mayGenerateAgain()) {
-              attemptFailed(q, a, a.decodeEngine, Failure.STALLED);
-            }
+            driver.renewReservation(q, a, Stage.DECODE);
+            stalledStreams.decodeStalled(q, a);
           }
         }
       }
@@ -556,7 +571,9 @@
 
   private void checkQueued(EntryRequest q, Attempt a) {
     long now = commands.now();
-    if (q.tokensSent == 0 && now >= q.request.firstTokenDeadlineNanos()) {
+    if (q.tokensSent == 0
+        && now >= q.request.firstTokenDeadlineNanos()
+        && !StalledStreamMover.isReplacement(q, a)) {
       commands.explain(
           q.request.id(), "queue_too_long", "first-token deadline passed in the queue");
       Duration retryAfter = retryAfterJitter.draw(now - q.arrivedNanos, now - q.arrivedNanos);
@@ -571,7 +588,9 @@
 
   private void checkPrefill(EntryRequest q, Attempt a) {
     long now = commands.now();
-    if (now > deadlines.firstTokenCutoffNanos(q, a)) {
+    if (now > deadlines.firstTokenCutoffNanos(q, a) && StalledStreamMover.isReplacement(q, a)) {
+      stalledStreams.drop(q, "its prefill is late");
+    } else if (now > deadlines.firstTokenCutoffNanos(q, a)) {
       commands.explain(q.request.id(), "prefill_late", "cancelled before decode");
       refuse(q, ErrorCode.DEADLINE_EXCEEDED, "prefill took too long", RETRY_AFTER);
     } else if (!a.renewedInStage && now >= deadlines.latePrefillNanos(a)) {
@@ -618,7 +637,8 @@
   /** Cancels a late prefill that was moved, which wastes less than running both prefills. */
   private void cancelLatePrefill(EntryRequest q, Attempt granted) {
     Attempt late = q.current;
-    if (granted == q.hedge && late != null && !settings.policyParameters().hedgingAllowed()) {
+    boolean isLatePrefill = late != null && late.state == Attempt.State.PREFILL;
+    if (granted == q.hedge && late != null && isLatePrefill && !settings.policyParameters().hedgingAllowed()) {
       commands.explain(q.request.id(), "late_prefill_moved", "from " + late.prefillEngine);
       driver.cancel(late, Outcome.CANCELLED, false);
       q.current = granted;
--- /dev/null
+++ b/core/src/main/java/org/mustardlatch/core/routing/StalledStreamMover.java
@@ -0,0 +1,130 @@
+package org.mustardlatch.core.routing;
+
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.mustardlatch.core.model.UpstreamId;
+import org.mustardlatch.core.peer.AdmissionMessage.Outcome;
+
+/**
+ * Moves a generation from an engine that is silent. The engine may still be working, so it keeps
+ * the generation until another engine is ready to take over: the replacement is a second attempt,
+ * {@link EntryRequest#hedge}, which is dropped if the silent engine sends something first.
+ */
+final class StalledStreamMover {
+  /** A KV cache that expires sooner than this is not reused on another decode engine. */
+  static final long MIN_KV_TIME_LEFT_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
+
+  /** Time between two requests for a replacement, after the first found no place. */
+  private static final long REQUEST_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+  private final CommandCollector commands;
+  private final AttemptDriver driver;
+
+  StalledStreamMover(CommandCollector commands, AttemptDriver driver) {
+    this.commands = commands;
+    this.driver = driver;
+  }
+
+  /** Returns whether an attempt is to take over a generation that an engine may be running. */
+  static boolean isReplacement(EntryRequest q, Attempt a) {
+    return a == q.hedge && isGenerating(q.current);
+  }
+
+  private static boolean isGenerating(@Nullable Attempt a) {
+    return a != null && a.state.compareTo(Attempt.State.TRANSFER) >= 0;
+  }
+
+  /** Requests a replacement for a decode without progress, if the request may run again. */
+  void decodeStalled(EntryRequest q, Attempt silent) {
+    requestReplacement(q, silent, null);
+  }
+
+  /**
+   * Requests a replacement for a decode whose head has not arrived, with the same KV cache or, if
+   * that is about to expire, with a new prefill once the engine has been silent for long.
+   */
+  void transferStalled(EntryRequest q, Attempt silent, KvHandle kv) {
+    long now = commands.now();
+    if (isUsable(kv)) {
+      requestReplacement(q, silent, kv);
+    } else if (now - silent.stateSinceNanos >= AttemptDeadlines.MIN_STALL_TIMEOUT_NANOS) {
+      requestReplacement(q, silent, null);
+    }
+  }
+
+  private boolean isUsable(KvHandle kv) {
+    return kv.expiresNanos() - commands.now() >= MIN_KV_TIME_LEFT_NANOS;
+  }
+
+  private void requestReplacement(EntryRequest q, Attempt silent, @Nullable KvHandle kv) {
+    long now = commands.now();
+    if (silent != q.current
+        || q.hedge != null
+        || !q.mayGenerateAgainAfterThisRun()
+        || q.attemptCount() >= RequestCoordinator.MAX_ATTEMPTS
+        || now < q.nextReplacementNanos) {
+      return;
+    }
+    q.nextReplacementNanos = now + REQUEST_INTERVAL_NANOS;
+    if (silent.decodeEngine != null) {
+      q.excluded.add(silent.decodeEngine);
+    }
+    Attempt replacement = new Attempt(q.nextAttempt(), silent.cell, kv);
+    replacement.enterState(Attempt.State.ASKING, now);
+    if (driver.contactNextNode(q, replacement)) {
+      commands.explain(
+          q.request.id(), "replacement_requested", silent.decodeEngine + " silent in " + silent.state);
+      q.hedge = replacement;
+    }
+  }
+
+  /**
+   * Returns whether the engines granted to a replacement are of use: the decode engine must not be
+   * the silent one, and the KV cache that it reuses, if any, must live long enough.
+   */
+  boolean isUseful(EntryRequest q, Attempt replacement, UpstreamId decodeEngine) {
+    Attempt silent = q.current;
+    boolean sameEngine = silent != null && decodeEngine.equals(silent.decodeEngine);
+    KvHandle kv = replacement.inheritedKv;
+    return !sameEngine && (kv == null || isUsable(kv));
+  }
+
+  /**
+   * Starts to use the grant of a replacement. One that reuses a KV cache takes over at once, because
+   * only one engine can fetch it; others do so after their prefill.
+   */
+  void granted(EntryRequest q, Attempt replacement) {
+    if (replacement.inheritedKv != null) {
+      takeOver(q, replacement);
+    }
+  }
+
+  /** Cancels the silent attempt; the replacement continues after the events that have arrived. */
+  void takeOver(EntryRequest q, Attempt replacement) {
+    Attempt silent = q.current;
+    if (silent != null) {
+      commands.explain(q.request.id(), "stalled_moved", "from " + silent.decodeEngine);
+      q.generationRuns++;
+      driver.cancel(silent, Outcome.FAILED, replacement.inheritedKv != null);
+    }
+    q.current = replacement;
+    q.hedge = null;
+  }
+
+  /** Drops the replacement, if any, of an attempt that has made progress. */
+  void progressed(EntryRequest q, Attempt a) {
+    if (a == q.current && q.hedge != null && isReplacement(q, q.hedge)) {
+      drop(q, "the first engine goes on");
+    }
+  }
+
+  /** Drops the replacement and leaves the generation to its engine. */
+  void drop(EntryRequest q, String reason) {
+    Attempt replacement = q.hedge;
+    if (replacement != null) {
+      commands.explain(q.request.id(), "replacement_dropped", reason);
+      driver.cancel(replacement, Outcome.CANCELLED, true);
+      q.hedge = null;
+    }
+  }
+}
