Probe again when a connection is reset while it is established

Cause: the listening socket of a process that has just ended resets connections that were not accepted yet. ConnectionProbe took this for no response, so the crash was not counted and one more server got the request that had caused it (five known red tests of CrashingRequestTest).

Change: a reset while connecting is treated like a connection that is closed at once: the probe connects again, and is refused if the process has ended.

--- a/gateway/src/main/java/org/mustardlatch/gateway/http/ConnectionProbe.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/http/ConnectionProbe.java
@@ -7,8 +7,11 @@
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.BindException;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
+import java.net.NoRouteToHostException;
+import java.net.SocketException;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -25,7 +28,8 @@
     NO_RESPONSE
   }
 
-  // A process that ends may accept a connection until its listening socket is closed.
+  // A process that ends may accept a connection until its listening socket is closed, which resets
+  // the connections that it has not accepted yet.
   private static final Duration MIN_LIFETIME = Duration.ofMillis(20);
   private static final int MAX_CONNECTIONS = 3;
 
@@ -44,7 +48,8 @@
   }
 
   /**
-   * Opens a connection and closes it again. Opens another one if the peer closes it at once.
+   * Opens a connection and closes it again. Opens another one if the peer closes or resets it at
+   * once.
    *
    * @param timeout time to establish a connection, after which the result is {@link
    *     Result#NO_RESPONSE}
@@ -73,16 +78,39 @@
               () -> checkConnection(connect), MIN_LIFETIME.toMillis(), TimeUnit.MILLISECONDS);
       return;
     }
-    boolean refused =
-        connect.cause() instanceof ConnectException
-            && !(connect.cause() instanceof ConnectTimeoutException);
-    consumer.accept(refused ? Result.REFUSED : Result.NO_RESPONSE);
+    if (isReset(connect.cause())) {
+      var unused =
+          loop.schedule(this::closedAtOnce, MIN_LIFETIME.toMillis(), TimeUnit.MILLISECONDS);
+    } else {
+      consumer.accept(isRefused(connect.cause()) ? Result.REFUSED : Result.NO_RESPONSE);
+    }
+  }
+
+  static boolean isRefused(Throwable cause) {
+    return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+  }
+
+  /** Returns whether the peer reset a connection while it was being established. */
+  static boolean isReset(Throwable cause) {
+    return cause instanceof SocketException
+        && !(cause instanceof ConnectException)
+        && !(cause instanceof NoRouteToHostException)
+        && !(cause instanceof BindException);
   }
 
   private void checkConnection(ChannelFuture connect) {
     boolean kept = connect.channel().isActive();
     var unused = connect.channel().close();
-    if (kept || connections == MAX_CONNECTIONS) {
+    if (kept) {
+      consumer.accept(Result.ACCEPTED);
+    } else {
+      closedAtOnce();
+    }
+  }
+
+  /** A process that closes every connection is alive: it accepts no more at present. */
+  private void closedAtOnce() {
+    if (connections == MAX_CONNECTIONS) {
       consumer.accept(Result.ACCEPTED);
     } else {
       connect();
