Tell a node that joins of the limits that upstreams state

Cause: NodeRouter.sendEvidence told a joining node of leaving upstreams and crashes, but not of stated limits, so that it sent an upstream all it had until the first answer came back (known red ServerLimitTest.limitHoldsWhileNodesRestart, 13 requests in 0.13 s).

Change: the introducers send it all statements, with their age.

--- a/core/src/main/java/org/mustardlatch/core/routing/NodeRouter.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/NodeRouter.java
@@ -330,6 +330,7 @@
         .forEach(u -> commands.send(host, new LeavingNotice(u)));
     evidenceCoordinator.sendRecentReports(host);
     promptPartQuarantine.sendCrashes(host);
+    upstreamLimits.sendStatements(host);
   }
 
   /** Returns whether a member has joined, or has restarted and lost what it was told before. */
--- a/core/src/main/java/org/mustardlatch/core/routing/UpstreamLimits.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/UpstreamLimits.java
@@ -123,6 +123,15 @@
     }
   }
 
+  /** Sends a node all statements that this node knows, as it has none after its start. */
+  void sendStatements(HostId host) {
+    long now = commands.now();
+    statements.forEach(
+        (upstream, s) ->
+            commands.send(
+                host, new RateLimitNotice(upstream, s.requestsPerSecond, now - s.statedNanos)));
+  }
+
   private Statement statement(UpstreamId upstream) {
     return statements.computeIfAbsent(upstream, u -> new Statement());
   }
