Let the predicted transfer time fall no lower than the fastest transfers

Cause: the estimate lost a tenth each 100 ms while no stream ran, without a limit. The engine that was observed next passed for up to 20 times too slow and got only probes after it (known red ServerLimitTest.callersBeyondTheLimitsOfAllDecodeEnginesAreRefused).

Change: it decays to the fastest transfers that were observed, which follow slower links over time. Transfers that were cut short by the cap say nothing about links and don't count.

--- a/core/src/main/java/org/mustardlatch/core/routing/KvTransferLimiter.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/KvTransferLimiter.java
@@ -20,9 +20,12 @@
   // After this time without an observation, each tick (100 ms) reduces the estimate by a tenth.
   private static final long DECAY_AFTER_NANOS = 500_000_000;
   private static final double DECAY_FACTOR = 0.9;
+  // Lets the estimate of an idle cell follow links that have become slower for good.
+  private static final double SLOWER_FASTEST_WEIGHT = 0.02;
 
   private long lastObservationNanos = Long.MIN_VALUE / 2;
   private double nanosPerByte;
+  private double fastestNanosPerByte;
   private double limit = MAX_LIMIT;
   private int inUse;
   private long nextDecreaseNanos = Long.MIN_VALUE;
@@ -60,18 +63,28 @@
         nanosPerByte == 0 ? observed : nanosPerByte + NEWEST_WEIGHT * (observed - nanosPerByte);
     if (durationNanos > SLOW_TRANSFER_NANOS) {
       reduceLimit(now);
-    } else if (durationNanos < FAST_TRANSFER_NANOS && limit < MAX_LIMIT) {
+      return;
+    }
+    recordFastest(observed);
+    if (durationNanos < FAST_TRANSFER_NANOS && limit < MAX_LIMIT) {
       limit = Math.min(MAX_LIMIT, limit + 1 / limit);
     }
   }
 
+  private void recordFastest(double observed) {
+    boolean faster = fastestNanosPerByte == 0 || observed < fastestNanosPerByte;
+    fastestNanosPerByte += (faster ? 1 : SLOWER_FASTEST_WEIGHT) * (observed - fastestNanosPerByte);
+  }
+
   /**
-   * Decays an estimate without recent observations. If requests are refused because of it, no new
-   * observation could correct it.
+   * Decays an estimate without recent observations, down to the fastest transfers. If requests are
+   * refused because of it, no new observation could correct it; below those, the next engine that
+   * is observed would seem slow.
    */
   void decayEstimate(long now) {
     if (now - lastObservationNanos > DECAY_AFTER_NANOS) {
-      nanosPerByte *= DECAY_FACTOR;
+      nanosPerByte =
+          Math.min(nanosPerByte, Math.max(fastestNanosPerByte, DECAY_FACTOR * nanosPerByte));
     }
   }
 
