--- a/core/src/main/java/org/mustardlatch/core/routing/RequestCoordinator.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/RequestCoordinator.java
@@ -638,7 +638,10 @@
   private void cancelLatePrefill(EntryRequest q, Attempt granted) {
     Attempt late = q.current;
     boolean isLatePrefill = late != null && late.state == Attempt.State.PREFILL;
-    if (granted == q.hedge && late != null && isLatePrefill && !settings.policyParameters().hedgingAllowed()) {
+    if (granted == q.hedge
+        && late != null
+        && isLatePrefill
+        && !settings.policyParameters().hedgingAllowed()) {
       commands.explain(q.request.id(), "late_prefill_moved", "from " + late.prefillEngine);
       driver.cancel(late, Outcome.CANCELLED, false);
       q.current = granted;
--- a/core/src/main/java/org/mustardlatch/core/routing/StalledStreamMover.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/StalledStreamMover.java
@@ -73,7 +73,9 @@
     replacement.enterState(Attempt.State.ASKING, now);
     if (driver.contactNextNode(q, replacement)) {
       commands.explain(
-          q.request.id(), "replacement_requested", silent.decodeEngine + " silent in " + silent.state);
+          q.request.id(),
+          "replacement_requested",
+          silent.decodeEngine + " silent in " + silent.state);
       q.hedge = replacement;
     }
   }
@@ -90,8 +92,8 @@
   }
 
   /**
-   * Starts to use the grant of a replacement. One that reuses a KV cache takes over at once, because
-   * only one engine can fetch it; others do so after their prefill.
+   * Starts to use the grant of a replacement. One that reuses a KV cache takes over at once,
+   * because only one engine can fetch it; others do so after their prefill.
    */
   void granted(EntryRequest q, Attempt replacement) {
     if (replacement.inheritedKv != null) {
--- a/gateway/src/main/java/org/mustardlatch/gateway/Gateway.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/Gateway.java
@@ -109,9 +109,7 @@
     this.metricsServer =
         metricsAddress == null ? null : new PageServer(loop, timers, metricsAddress);
     if (metricsServer != null) {
-      metrics.registerGauge(
-          "mustardlatch.open.requests",
-          this::openRequests);
+      metrics.registerGauge("mustardlatch.open.requests", this::openRequests);
       metrics.registerGauge("mustardlatch.upstreams", () -> fleet.instances().size());
       metricsServer.addPage(
           "/metrics",
--- a/gateway/src/main/java/org/mustardlatch/gateway/http/BufferedResponseListener.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/http/BufferedResponseListener.java
@@ -39,8 +39,7 @@
   /** Framing alone tells that an error response or an empty one is complete. */
   private static boolean endsInsideEvent(BufferedResponse r, ResponseEnd end) {
     String contentType = r.head().headers().get(HttpHeaderNames.CONTENT_TYPE);
-    boolean mayBeCutOff =
-        end == ResponseEnd.CONNECTION_CLOSE || (r.succeeded() && r.length() > 0);
+    boolean mayBeCutOff = end == ResponseEnd.CONNECTION_CLOSE || (r.succeeded() && r.length() > 0);
     return mayBeCutOff
         && EventStreams.isEventStream(contentType)
         && !EventStreams.endsAfterEvent(r.body());
--- a/gateway/src/main/java/org/mustardlatch/gateway/http/CallRequest.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/http/CallRequest.java
@@ -39,8 +39,8 @@
    * @param head method, target and headers; the Content-Length is set when the request is sent
    * @param body the whole body; not copied
    * @param repeatable whether the sender can repeat it after a failure
-   * @param responseMatcher tests whether a response has the id; others on the connection, also those
-   *     without an id, are skipped, and the connection is closed after the call
+   * @param responseMatcher tests whether a response has the id; others on the connection, also
+   *     those without an id, are skipped, and the connection is closed after the call
    */
   public CallRequest(
       String id,
--- a/gateway/src/main/java/org/mustardlatch/gateway/http/UpstreamConnection.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/http/UpstreamConnection.java
@@ -25,6 +25,8 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
+import org.mustardlatch.gateway.log.EventLog;
+import org.mustardlatch.gateway.log.LogEvent;
 
 /** A connection to an upstream that carries one call at a time. Used on the event loop only. */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
@@ -165,8 +167,7 @@
     boolean interim = r.status().codeClass() == HttpStatusClass.INFORMATIONAL;
     skippingResponse = interim || !c.request().matches(r);
     if (skippingResponse) {
-      // The connection carried a response to another request, so it is not reused.
-      closeAfterResponse |= !interim;
+      skipped(r, interim);
       return;
     }
     headReceived = true;
@@ -181,6 +182,18 @@
     c.listener().headReceived(r);
   }
 
+  private void skipped(HttpResponse r, boolean interim) {
+    if (!interim) {
+      // The connection carried a response to another request, so it is not reused.
+      closeAfterResponse = true;
+      EventLog.log(
+          LogEvent.RESPONSE_UNMATCHED,
+          String.valueOf(call == null ? null : call.request().id()),
+          channel.remoteAddress(),
+          r.status().code());
+    }
+  }
+
   private void readKeepAliveTimeout(HttpHeaders headers) {
     String value = headers.get("Keep-Alive");
     if (value == null) {
--- a/gateway/src/main/java/org/mustardlatch/gateway/log/LogEvent.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/log/LogEvent.java
@@ -73,6 +73,8 @@
       8039, Level.INFO, "request={} content={} upstream={} observed after its call was cancelled"),
   STOP_FINISHING(8040, Level.INFO, "accepting no connections, open connections={} requests={}"),
   STOP_ENDING(8041, Level.WARN, "grace period nearly over, open connections={} requests={}"),
+  RESPONSE_UNMATCHED(
+      8042, Level.WARN, "request={} response without its id skipped from={} status={}"),
   UPSTREAM_PROBED(8035, Level.INFO, "upstream={} new_connection={} crashed={}"),
   KV_NOT_FREED(8028, Level.WARN, "kv={} upstream={} not freed reason={}");
 
