--- a/daemon/src/test/java/org/mustardlatch/daemon/DaemonProcess.java
+++ b/daemon/src/test/java/org/mustardlatch/daemon/DaemonProcess.java
@@ -10,11 +10,19 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** Daemon in a separate process, so that tests can send signals to it. */
 final class DaemonProcess implements AutoCloseable {
   private static final Duration START_TIMEOUT = Duration.ofSeconds(60);
 
+  private static final int MIN_PORT = 12_000;
+  private static final int PORT_COUNT = 20_000;
+
+  /** Starts at another port in each process, so that test processes do not race for ports. */
+  private static final AtomicInteger NEXT_PORT =
+      new AtomicInteger((int) (ProcessHandle.current().pid() * 211 % PORT_COUNT));
+
   private final String host;
   private final int callerPort = freePort();
   private final int operatorPort = freePort();
@@ -73,12 +81,18 @@
     }
   }
 
-  /** Returns a free loopback port; another process may bind it before the caller does. */
+  /**
+   * Returns a port that nothing listens on. It is below the ports that the kernel gives to outgoing
+   * connections, so none of these can take it before the process that it is for listens there.
+   */
   static int freePort() {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return socket.getLocalPort();
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
+    while (true) {
+      int port = MIN_PORT + Math.floorMod(NEXT_PORT.getAndIncrement(), PORT_COUNT);
+      try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+        return socket.getLocalPort();
+      } catch (IOException e) {
+        // Another process listens there.
+      }
     }
   }
 
