Answer one more request after a stream whose head did not announce the close

Callers: a stream whose head was sent before SIGTERM does not say "Connection: close", and its connection was closed at its end. A caller that used the connection again at once got no response at all, orders that may run once among them, and could not know whether they had run.

None of them had been passed on.

Cause: CallerConnection closed the connection at the end of the response whenever the node was draining, whether or not the caller had been told.

Change: the connection stays open for one more request, 0.5 s at most. That request is accepted if it ends before the stop whatever its duration; otherwise it is refused as not run. Its response announces the close. The end of the stop waits for these connections as for all others.

--- a/core/src/main/java/org/mustardlatch/core/lifecycle/PlannedStop.java
+++ b/core/src/main/java/org/mustardlatch/core/lifecycle/PlannedStop.java
@@ -88,7 +88,21 @@
   public boolean accepts(long now, long deadlineNanos) {
     return switch (phase(now)) {
       case SERVING, WITHDRAWING -> true;
-      case FINISHING -> deadlineNanos - requestedNanos <= finishTime.toNanos();
+      case FINISHING, ENDING -> endsInTime(now, deadlineNanos);
+    };
+  }
+
+  /**
+   * Returns whether a request ends before the stop does, however long it takes. On a connection
+   * that is about to be closed only such requests are accepted: its caller gets another node by
+   * connecting again, while callers with a new connection might get this node a second time.
+   *
+   * @param deadlineNanos time at which its caller no longer waits
+   */
+  public boolean endsInTime(long now, long deadlineNanos) {
+    return switch (phase(now)) {
+      case SERVING -> true;
+      case WITHDRAWING, FINISHING -> deadlineNanos - requestedNanos <= finishTime.toNanos();
       case ENDING -> false;
     };
   }
--- a/core/src/test/java/org/mustardlatch/core/lifecycle/PlannedStopTest.java
+++ b/core/src/test/java/org/mustardlatch/core/lifecycle/PlannedStopTest.java
@@ -51,6 +51,15 @@
   void acceptsNothingAtItsEnd() {
     stop.request(START);
     assertThat(stop.accepts(START + 8 * SECOND, START + 8 * SECOND)).isFalse();
+    assertThat(stop.endsInTime(START + 8 * SECOND, START + 8 * SECOND)).isFalse();
+  }
+
+  @Test
+  void tellsWhichRequestsEndBeforeIt() {
+    assertThat(stop.endsInTime(START, START + 60 * SECOND)).isTrue();
+    stop.request(START);
+    assertThat(stop.endsInTime(START, START + 8 * SECOND)).isTrue();
+    assertThat(stop.endsInTime(START, START + 8 * SECOND + 1)).isFalse();
   }
 
   @Test
--- a/gateway/src/main/java/org/mustardlatch/gateway/Gateway.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/Gateway.java
@@ -278,7 +278,11 @@
             protocol,
             firstAttemptTimeout(route, metadata),
             metrics);
-    if (!stop.accepts(timers.nanos(), exchange.deadlineNanos())) {
+    boolean accepted =
+        caller.lastOnConnection()
+            ? stop.endsInTime(timers.nanos(), exchange.deadlineNanos())
+            : stop.accepts(timers.nanos(), exchange.deadlineNanos());
+    if (!accepted) {
       exchange.fail(ErrorCode.DRAINING, "this node is stopping", STOPPING_RETRY_AFTER);
       return;
     }
--- a/gateway/src/main/java/org/mustardlatch/gateway/http/CallerConnection.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/http/CallerConnection.java
@@ -46,6 +46,9 @@
   // the queue is empty.
   private static final int MAX_QUEUED_PARTS = 64;
 
+  // Callers that use a connection again at once have sent their request by then.
+  private static final Duration LAST_REQUEST_WAIT = Duration.ofMillis(500);
+
   private final CallerServer server;
   private final Channel channel;
   private final Queue<HttpObject> queuedParts = new ArrayDeque<>();
@@ -54,6 +57,10 @@
   private ByteArrayOutputStream body = new ByteArrayOutputStream();
   private @Nullable CallerExchange currentExchange;
   private boolean keepAlive;
+  // Whether the head of the current response says that the connection will be closed.
+  private boolean closeAnnounced;
+  // Whether one more request is read, because the last response did not announce the close.
+  private boolean awaitingLastRequest;
   private boolean closing;
   private long idleSinceNanos;
   private @Nullable TimerSubscription idleTimer;
@@ -126,7 +133,9 @@
         HttpRequest r = Objects.requireNonNull(head);
         head = null;
         keepAlive = HttpUtil.isKeepAlive(r);
-        CallerExchange e = new CallerExchange(this, r, body.toByteArray(), headNanos);
+        closeAnnounced = !keepAlive;
+        CallerExchange e =
+            new CallerExchange(this, r, body.toByteArray(), headNanos, awaitingLastRequest);
         currentExchange = e;
         server.handler().requestReceived(e);
       }
@@ -176,6 +185,7 @@
     h.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
     if (mustClose()) {
       keepAlive = false;
+      closeAnnounced = true;
       h.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     }
     HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, status, h);
@@ -187,7 +197,14 @@
   }
 
   void endResponse() {
-    finishExchange(channel.writeAndFlush(new DefaultLastHttpContent()), mustClose());
+    var sent = channel.writeAndFlush(new DefaultLastHttpContent());
+    if (mustClose() && !closeAnnounced) {
+      // The caller may have sent its next request already, and must get a response to it.
+      awaitingLastRequest = true;
+      finishExchange(sent, false);
+    } else {
+      finishExchange(sent, mustClose());
+    }
   }
 
   private void finishExchange(io.netty.channel.ChannelFuture sent, boolean close) {
@@ -227,8 +244,17 @@
     writabilityTask.run();
   }
 
-  /** Closes the connection unless a request is in progress or partly received. */
+  /**
+   * Closes the connection unless a request is in progress or partly received, or one more request
+   * is awaited.
+   */
   void closeIfIdle() {
+    if (!awaitingLastRequest) {
+      closeIfNoRequest();
+    }
+  }
+
+  private void closeIfNoRequest() {
     if (currentExchange == null && head == null && queuedParts.isEmpty()) {
       closing = true;
       var unused = channel.close();
@@ -238,14 +264,17 @@
   private void startIdleTimer() {
     stopIdleTimer();
     idleSinceNanos = server.now();
-    Duration limit = server.limits().idleTimeout();
-    idleTimer =
-        server.timers().schedule(limit.plus(CallerServer.IDLE_MARGIN), this::idleTimerFired);
+    Duration limit =
+        awaitingLastRequest
+            ? LAST_REQUEST_WAIT
+            : server.limits().idleTimeout().plus(CallerServer.IDLE_MARGIN);
+    idleTimer = server.timers().schedule(limit, this::idleTimerFired);
   }
 
   private void idleTimerFired() {
-    if (server.now() - idleSinceNanos >= server.limits().idleTimeout().toNanos()) {
-      closeIfIdle();
+    if (awaitingLastRequest
+        || server.now() - idleSinceNanos >= server.limits().idleTimeout().toNanos()) {
+      closeIfNoRequest();
     }
   }
 
--- a/gateway/src/main/java/org/mustardlatch/gateway/http/CallerExchange.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/http/CallerExchange.java
@@ -11,14 +11,21 @@
   private final HttpRequest head;
   private final byte[] body;
   private final long receivedNanos;
+  private final boolean lastOnConnection;
   private boolean responseStarted;
   private boolean done;
 
-  CallerExchange(CallerConnection connection, HttpRequest head, byte[] body, long receivedNanos) {
+  CallerExchange(
+      CallerConnection connection,
+      HttpRequest head,
+      byte[] body,
+      long receivedNanos,
+      boolean lastOnConnection) {
     this.connection = connection;
     this.head = head;
     this.body = body;
     this.receivedNanos = receivedNanos;
+    this.lastOnConnection = lastOnConnection;
   }
 
   /** Returns the method, target and headers of the request. */
@@ -36,6 +43,14 @@
     return receivedNanos;
   }
 
+  /**
+   * Returns whether the connection would be closed by now, if only the caller had been told so by
+   * the response to its request before.
+   */
+  public boolean lastOnConnection() {
+    return lastOnConnection;
+  }
+
   /** Returns whether the head of a response was sent. */
   public boolean responseStarted() {
     return responseStarted;
