Take only the end of an engine's response for the end of a stream

Callers: a stream whose caller states no output length, or a shorter one than the number of events that come, and whose engine breaks off after so many events, ended as if it were complete, with the incomplete event dropped.

Cause: RequestCoordinator takes a failed decode for a complete one once as many tokens have been sent as the request may have. That holds for the own interface, which counts tokens and writes the end itself. On the platform an event is not a token, and only the end of the response tells.

Change: a request says whether its generation ends with its last token; those of the gateway do not. A stream that breaks off there is continued elsewhere if it may be resumed, else broken off.

--- a/core/src/main/java/org/mustardlatch/core/routing/GenerationRequest.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/GenerationRequest.java
@@ -25,6 +25,8 @@
  * @param plannedOutputTokens output tokens for which KV memory is planned; engines preempt requests
  *     whose output becomes longer
  * @param promptParts digests of the parts of the prompt that other requests may share
+ * @param endsAtMaxOutput whether a generation that breaks off after {@code maxOutputTokens} is
+ *     complete; false if only the end of an engine's response tells that nothing is missing
  */
 public record GenerationRequest(
     RequestId id,
@@ -40,7 +42,8 @@
     boolean resumable,
     int maxRuns,
     int plannedOutputTokens,
-    List<Fingerprint> promptParts) {
+    List<Fingerprint> promptParts,
+    boolean endsAtMaxOutput) {
   /** Copies the lists and checks {@code maxRuns}. */
   public GenerationRequest {
     prefixBlocks = List.copyOf(prefixBlocks);
@@ -52,7 +55,7 @@
 
   /**
    * Creates a request that may be resumed on any number of engines, with KV memory planned for all
-   * output tokens and no parts that other requests share.
+   * output tokens and no parts that other requests share, and that ends with its last token.
    */
   public GenerationRequest(
       RequestId id,
@@ -79,7 +82,8 @@
         true,
         Integer.MAX_VALUE,
         maxOutputTokens,
-        List.of());
+        List.of(),
+        true);
   }
 
   /** Returns the same request with other parts of its prompt. */
@@ -98,6 +102,7 @@
         resumable,
         maxRuns,
         plannedOutputTokens,
-        parts);
+        parts,
+        endsAtMaxOutput);
   }
 }
--- a/core/src/main/java/org/mustardlatch/core/routing/RequestCoordinator.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/RequestCoordinator.java
@@ -396,7 +396,7 @@
     if (requests.find(id) instanceof LiveAttempt(EntryRequest q, Attempt a)
         && a.granted()
         && a.state != Attempt.State.PREFILL) {
-      if (q.remainingTokens() == 0) {
+      if (q.request.endsAtMaxOutput() && q.remainingTokens() == 0) {
         complete(q, a);
       } else {
         attemptFailed(q, a, a.decodeEngine, failure);
--- a/core/src/test/java/org/mustardlatch/core/routing/NodeRouterTest.java
+++ b/core/src/test/java/org/mustardlatch/core/routing/NodeRouterTest.java
@@ -474,7 +474,8 @@
         false,
         1,
         r.maxOutputTokens(),
-        List.of());
+        List.of(),
+        true);
   }
 
   @Test
--- a/core/src/test/java/org/mustardlatch/core/routing/StalledStreamMoverTest.java
+++ b/core/src/test/java/org/mustardlatch/core/routing/StalledStreamMoverTest.java
@@ -89,7 +89,8 @@
         true,
         maxRuns,
         r.maxOutputTokens(),
-        List.of());
+        List.of(),
+        true);
   }
 
   private void reserveIfRequested() {
--- a/gateway/src/main/java/org/mustardlatch/gateway/GenerationRequestHandler.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/GenerationRequestHandler.java
@@ -187,7 +187,9 @@
             exchange.route().repeatable(),
             exchange.route().maxAttempts(),
             plannedOutputTokens(metadata),
-            parts);
+            parts,
+            // Callers need not state the output, and more events than it may come.
+            false);
     EventLog.log(
         LogEvent.GENERATION_ARRIVED,
         exchange.callerRequestId(),
--- a/gateway/src/test/java/org/mustardlatch/gateway/InterruptedStreamTest.java
+++ b/gateway/src/test/java/org/mustardlatch/gateway/InterruptedStreamTest.java
@@ -56,10 +56,15 @@
   }
 
   private String send(String path) throws IOException {
+    return send(path, "");
+  }
+
+  private String send(String path, String headerLine) throws IOException {
     var received = new ByteArrayOutputStream();
     try (Socket s = gateway.connect()) {
       String request =
-          "GET %s HTTP/1.1\r\nHost: host\r\nId: q1\r\nConnection: close\r\n\r\n".formatted(path);
+          "GET %s HTTP/1.1\r\nHost: host\r\nId: q1\r\n%sConnection: close\r\n\r\n"
+              .formatted(path, headerLine);
       s.getOutputStream().write(request.getBytes(UTF_8));
       for (int b = s.getInputStream().read(); b >= 0; b = s.getInputStream().read()) {
         received.write(b);
@@ -121,6 +126,41 @@
     assertThat(response).endsWith(LAST_CHUNK);
   }
 
+  /** The output that a caller states, if it states any, does not tell how many events come. */
+  @ParameterizedTest
+  @ValueSource(strings = {"id: 2\nda", ""})
+  void streamThatBreaksOffAfterTheStatedOutputIsBrokenOff(String incompleteEvent) throws Exception {
+    gateway.addEngine("first", first, EngineStage.DECODE);
+    first.onNextRequest(
+        (socket, out, request) -> {
+          out.write(unfinished(EVENT_1 + incompleteEvent).getBytes(UTF_8));
+          out.flush();
+          socket.close();
+        });
+
+    String response = send("/stream/x", "Max-Output: 1\r\n");
+
+    assertThat(response).contains(EVENT_1);
+    assertNotComplete(response);
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"id: 2\nda", ""})
+  void streamThatBreaksOffAfterTheStatedOutputGoesOnElsewhereIfItMayBeResumed(
+      String incompleteEvent) throws Exception {
+    addTwoEngines(unfinished(EVENT_1 + incompleteEvent), framed(true, EVENT_2 + EVENT_3));
+
+    String response = send("/resumable/x", "Max-Output: 1\r\n");
+
+    assertThat(response.replaceAll("\r\n[0-9a-f]+\r\n", "")).contains(EVENT_1 + EVENT_2 + EVENT_3);
+    assertThat(response).endsWith(LAST_CHUNK);
+  }
+
+  /** Returns a response in chunks that lacks the last one. */
+  private static String unfinished(String body) {
+    return HEAD + "Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n".formatted(body.length(), body);
+  }
+
   @ParameterizedTest
   @ValueSource(strings = {EVENT_1 + EVENT_2 + EVENT_3, EVENT_2 + EVENT_3})
   void engineThatStartsAgainDoesNotRepeatEvents(String resumedRun) throws Exception {
--- a/gateway/src/test/java/org/mustardlatch/gateway/TestProtocol.java
+++ b/gateway/src/test/java/org/mustardlatch/gateway/TestProtocol.java
@@ -25,7 +25,7 @@
         headers.get("Id"),
         timeout == null ? null : Long.parseLong(timeout),
         headers.getInt("Prompt", 100),
-        100,
+        headers.getInt("Max-Output", 100),
         0,
         List.of());
   }
