Leave a silent stream at its engine until another one has accepted it

Callers: a stream that paused for 2.4 s at a sound engine was broken off in the middle, in calm.

Cause: keeps the silent engine until the prefill of the replacement has ended. Then it was cancelled and the other engine asked, which refused (503, full); no engine had a place any more, and the stream ended though its first engine would have finished it. The log of the node has all steps: replacement_requested, reserved, stalled_moved, refused with 503, cell_refused, refused_upstream_failed, broken_off.

Change: the silent engine is cancelled when the head of the other engine's response has arrived. A replacement that is refused, fails or stays silent itself is dropped; if the first engine sends an event before, too, so that no event comes twice. Both may be asked to fetch the same KV cache; only one can. The gateway forwards one decode of a stream at a time, and the own interface's sink lets a replacement take over only if no token was appended since it was asked.

--- a/core/src/main/java/org/mustardlatch/core/routing/PauseRecovery.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/PauseRecovery.java
@@ -54,6 +54,7 @@
     starter.delayNewAttempts();
     for (EntryRequest q : requests.snapshot()) {
       Attempt running = runningAttempt(q);
+      int runs = (int) q.liveAttempts().stream().filter(PauseRecovery::mayBeRunning).count();
       Attempt kept = running != null && !q.mayGenerateAgainAfterThisRun() ? running : null;
       for (Attempt a : q.liveAttempts()) {
         if (a != kept) {
@@ -67,7 +68,7 @@
         callbacks.updateTimer(q);
         continue;
       }
-      q.generationRuns += running == null ? 0 : 1;
+      q.generationRuns += runs;
       commands.explain(q.request.id(), "fenced", "this node was paused");
       boolean expired = q.tokensSent == 0 && commands.now() >= q.request.firstTokenDeadlineNanos();
       if (expired) {
@@ -82,10 +83,14 @@
   /** Returns the attempt whose generation an engine may be running, or null. */
   private static @Nullable Attempt runningAttempt(EntryRequest q) {
     for (Attempt a : q.liveAttempts()) {
-      if (a.state.compareTo(Attempt.State.TRANSFER) >= 0) {
+      if (mayBeRunning(a)) {
         return a;
       }
     }
     return null;
   }
+
+  private static boolean mayBeRunning(Attempt a) {
+    return a.state.compareTo(Attempt.State.TRANSFER) >= 0;
+  }
 }
--- a/core/src/main/java/org/mustardlatch/core/routing/RequestCoordinator.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/RequestCoordinator.java
@@ -202,7 +202,6 @@
         stalledStreams.drop(q, "no other engine, retry budget or time for its KV cache");
         return;
       }
-      stalledStreams.granted(q, a);
     }
     String detail = "cell=" + a.cell.name() + " prefill=" + grant.prefill();
     commands.explain(q.request.id(), "reserved", detail + " decode=" + grant.decode());
@@ -311,9 +310,9 @@
         stalledStreams.drop(q, "its prefill is late");
         return;
       }
-      stalledStreams.takeOver(q, a);
+    } else {
+      cancelOtherAttempt(q, a);
     }
-    cancelOtherAttempt(q, a);
     if (late) {
       commands.emit(new RoutingCommand.ReleaseKv(handle));
       driver.releaseReservation(a, Outcome.CANCELLED);
@@ -353,6 +352,9 @@
   void decodeStarted(AttemptId id) {
     if (requests.find(id) instanceof LiveAttempt(EntryRequest q, Attempt a)
         && a.state == Attempt.State.TRANSFER) {
+      if (StalledStreamMover.isReplacement(q, a)) {
+        stalledStreams.takeOver(q, a);
+      }
       a.enterState(Attempt.State.DECODE, commands.now());
       q.engineRefusals = 0;
       stalledStreams.progressed(q, a);
@@ -416,16 +418,18 @@
         a.state.compareTo(Attempt.State.TRANSFER) >= 0 && !FailureRules.neverStarted(failure);
     q.generationRuns += mayHaveRun ? 1 : 0;
     KvHandle handle = a.state == Attempt.State.TRANSFER ? a.kvHandle : null;
+    boolean otherUsesKv = stalledStreams.otherAttemptUses(q, a, handle);
     boolean reuseKv =
         handle != null
+            && a != q.hedge
             && (!mayHaveRun || q.mayGenerateAgain())
             && failure != Failure.KV_EXPIRED
             && handle.expiresNanos() - commands.now() >= StalledStreamMover.MIN_KV_TIME_LEFT_NANOS
             && q.attemptCount() < MAX_ATTEMPTS;
     if (FailureRules.mayStillRun(failure)) {
-      driver.cancel(a, Outcome.FAILED, reuseKv);
+      driver.cancel(a, Outcome.FAILED, reuseKv || otherUsesKv);
     } else {
-      if (handle != null && !reuseKv) {
+      if (handle != null && !reuseKv && !otherUsesKv) {
         commands.emit(new RoutingCommand.ReleaseKv(handle));
       }
       driver.releaseReservation(a, FailureRules.reservationOutcome(failure));
@@ -437,6 +441,7 @@
     }
     if (a == q.hedge) {
       q.hedge = null;
+      updateTimer(q);
       return;
     }
     q.current = q.hedge;
@@ -536,7 +541,9 @@
       case PREFILL -> checkPrefill(q, a);
       case TRANSFER -> {
         KvHandle h = a.kvHandle;
-        if (h != null && now >= AttemptDeadlines.transferDeadlineNanos(a, h)) {
+        if (StalledStreamMover.isReplacement(q, a)) {
+          stalledStreams.checkReplacement(q, a);
+        } else if (h != null && now >= AttemptDeadlines.transferDeadlineNanos(a, h)) {
           stalledStreams.transferStalled(q, a, h);
         }
       }
@@ -680,7 +687,9 @@
   private void closeRequest(EntryRequest q, Outcome outcome) {
     boolean abandoned = q.liveAttempts().stream().anyMatch(Attempt::granted);
     for (Attempt a : q.liveAttempts()) {
-      driver.cancel(a, outcome, false);
+      boolean releasedWithOther =
+          a == q.hedge && stalledStreams.otherAttemptUses(q, a, a.inheritedKv);
+      driver.cancel(a, outcome, releasedWithOther);
     }
     q.current = null;
     q.hedge = null;
--- a/core/src/main/java/org/mustardlatch/core/routing/StalledStreamMover.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/StalledStreamMover.java
@@ -7,8 +7,8 @@
 
 /**
  * Moves a generation from an engine that is silent. The engine may still be working, so it keeps
- * the generation until another engine is ready to take over: the replacement is a second attempt,
- * {@link EntryRequest#hedge}, which is dropped if the silent engine sends something first.
+ * the generation until another engine has accepted it: the replacement is a second attempt, {@link
+ * EntryRequest#hedge}, which is dropped if it fails or if the silent engine sends something first.
  */
 final class StalledStreamMover {
   /** A KV cache that expires sooner than this is not reused on another decode engine. */
@@ -92,16 +92,9 @@
   }
 
   /**
-   * Starts to use the grant of a replacement. One that reuses a KV cache takes over at once,
-   * because only one engine can fetch it; others do so after their prefill.
+   * Cancels the silent attempt once the engine of the replacement has accepted the generation, to
+   * continue it after the events that have arrived.
    */
-  void granted(EntryRequest q, Attempt replacement) {
-    if (replacement.inheritedKv != null) {
-      takeOver(q, replacement);
-    }
-  }
-
-  /** Cancels the silent attempt; the replacement continues after the events that have arrived. */
   void takeOver(EntryRequest q, Attempt replacement) {
     Attempt silent = q.current;
     if (silent != null) {
@@ -125,8 +118,30 @@
     Attempt replacement = q.hedge;
     if (replacement != null) {
       commands.explain(q.request.id(), "replacement_dropped", reason);
-      driver.cancel(replacement, Outcome.CANCELLED, true);
+      // Its engine may have started to generate before it hears of the cancellation.
+      q.generationRuns += isGenerating(replacement) ? 1 : 0;
+      driver.cancel(replacement, Outcome.CANCELLED, replacement.inheritedKv != null);
       q.hedge = null;
     }
   }
+
+  /** Drops a replacement whose engine does not respond either. */
+  void checkReplacement(EntryRequest q, Attempt replacement) {
+    long silentNanos = commands.now() - replacement.stateSinceNanos;
+    if (silentNanos >= AttemptDeadlines.MIN_STALL_TIMEOUT_NANOS) {
+      UpstreamId engine = replacement.decodeEngine;
+      if (engine != null) {
+        q.excluded.add(engine);
+      }
+      drop(q, engine + " is silent, too");
+    }
+  }
+
+  /** Returns whether another attempt of the request is to use the same KV cache. */
+  boolean otherAttemptUses(EntryRequest q, Attempt a, @Nullable KvHandle kv) {
+    Attempt other = a == q.current ? q.hedge : q.current;
+    return kv != null
+        && other != null
+        && (kv.equals(other.inheritedKv) || kv.equals(other.kvHandle));
+  }
 }
--- a/core/src/test/java/org/mustardlatch/core/routing/StalledStreamMoverTest.java
+++ b/core/src/test/java/org/mustardlatch/core/routing/StalledStreamMoverTest.java
@@ -10,6 +10,8 @@
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.mustardlatch.core.manifest.Manifest;
 import org.mustardlatch.core.manifest.Model;
 import org.mustardlatch.core.manifest.Objective;
@@ -17,8 +19,8 @@
 import org.mustardlatch.core.model.UpstreamId;
 
 /**
- * Guards against streams that are taken from an engine that is only slow, when no other engine can
- * continue them: they would be broken off although their engine would have finished them.
+ * Guards against streams that are taken from an engine that is only slow, when no other engine
+ * continues them: they would be broken off although their engine would have finished them.
  */
 class StalledStreamMoverTest {
   private static final TimerKey REQUEST_TIMER = new TimerKey(RequestCoordinator.TIMER_KIND, "r1");
@@ -191,8 +193,56 @@
     assertStreamStays(d);
   }
 
+  private RoutingCommand.StartDecode requestReplacement() {
+    passSilently(2_500 * MILLI);
+    return finishPrefill(lastCommandOfType(RoutingCommand.StartPrefill.class));
+  }
+
+  @ParameterizedTest
+  @EnumSource(Failure.class)
+  void staysWhenTheEngineOfTheReplacementFails(Failure failure) {
+    applyManifest(2, false);
+    RoutingCommand.StartDecode d = startStream(3);
+    RoutingCommand.StartDecode replacement = requestReplacement();
+    assertThat(replacement.attempt()).isNotEqualTo(d.attempt());
+
+    handle(new RoutingEvent.DecodeFailed(replacement.attempt(), failure));
+
+    assertStreamStays(d);
+  }
+
+  @Test
+  void staysWhenEventsArriveBeforeTheReplacementIsAccepted() {
+    applyManifest(2, false);
+    RoutingCommand.StartDecode d = startStream(3);
+    RoutingCommand.StartDecode replacement = requestReplacement();
+
+    handle(new RoutingEvent.TokensArrived(d.attempt(), 1));
+
+    assertThat(commandsOfType(RoutingCommand.CancelAttempt.class))
+        .containsExactly(
+            new RoutingCommand.CancelAttempt(replacement.attempt(), replacement.upstream()));
+    assertThat(commandsOfType(RoutingCommand.ReleaseKv.class))
+        .containsExactly(new RoutingCommand.ReleaseKv(replacement.handle()));
+    assertStreamStays(d);
+  }
+
+  @Test
+  void staysWhenTheEngineOfTheReplacementIsSilentToo() {
+    applyManifest(2, false);
+    RoutingCommand.StartDecode d = startStream(3);
+    RoutingCommand.StartDecode replacement = requestReplacement();
+
+    passSilently(2_500 * MILLI);
+
+    assertThat(commandsOfType(RoutingCommand.CancelAttempt.class))
+        .containsExactly(
+            new RoutingCommand.CancelAttempt(replacement.attempt(), replacement.upstream()));
+    assertStreamStays(d);
+  }
+
   @Test
-  void movesOnceTheReplacementIsReady() {
+  void movesOnceTheReplacementIsAccepted() {
     applyManifest(2, true);
     RoutingCommand.StartDecode d = startStream(2);
     while (commandsOfType(RoutingCommand.ReserveEngine.class).size() == 1) {
@@ -203,12 +253,14 @@
 
     RoutingCommand.StartDecode next =
         finishPrefill(lastCommandOfType(RoutingCommand.StartPrefill.class));
-
-    assertThat(commandsOfType(RoutingCommand.CancelAttempt.class))
-        .containsExactly(new RoutingCommand.CancelAttempt(d.attempt(), d.upstream()));
     assertThat(next.upstream()).isNotEqualTo(d.upstream());
     assertThat(next.resumeFrom()).isEqualTo(7);
+    assertThat(commandsOfType(RoutingCommand.CancelAttempt.class)).isEmpty();
+
     handle(new RoutingEvent.DecodeStarted(next.attempt()));
+
+    assertThat(commandsOfType(RoutingCommand.CancelAttempt.class))
+        .containsExactly(new RoutingCommand.CancelAttempt(d.attempt(), d.upstream()));
     handle(new RoutingEvent.DecodeFinished(next.attempt()));
     assertThat(commandsOfType(RoutingCommand.Complete.class)).hasSize(1);
     assertThat(router.openReservations()).isEqualTo(0);
@@ -239,6 +291,21 @@
     assertStreamStays(d);
   }
 
+  @Test
+  void staysWhenItsKvCacheCanNotBeFetchedByAnotherEngine() {
+    applyManifest(2, false);
+    RoutingCommand.StartDecode d = startDecode(3);
+    passSilently(700 * MILLI);
+    RoutingCommand.StartDecode next = lastCommandOfType(RoutingCommand.StartDecode.class);
+    assertThat(next.attempt()).isNotEqualTo(d.attempt());
+
+    handle(new RoutingEvent.DecodeFailed(next.attempt(), Failure.REFUSED));
+
+    assertThat(commandsOfType(RoutingCommand.ReleaseKv.class)).isEmpty();
+    handle(new RoutingEvent.DecodeStarted(d.attempt()));
+    assertStreamStays(d);
+  }
+
   @Test
   void takesItsKvCacheToAnotherEngineWhenTheHeadOfItsResponseIsLate() {
     applyManifest(2, false);
@@ -248,6 +315,8 @@
     RoutingCommand.StartDecode next = lastCommandOfType(RoutingCommand.StartDecode.class);
     assertThat(next.upstream()).isNotEqualTo(d.upstream());
     assertThat(next.handle()).isEqualTo(d.handle());
+    assertThat(commandsOfType(RoutingCommand.CancelAttempt.class)).isEmpty();
+    handle(new RoutingEvent.DecodeStarted(next.attempt()));
     assertThat(commandsOfType(RoutingCommand.CancelAttempt.class))
         .containsExactly(new RoutingCommand.CancelAttempt(d.attempt(), d.upstream()));
     assertThat(commandsOfType(RoutingCommand.ReleaseKv.class)).isEmpty();
--- a/daemon/src/main/java/org/mustardlatch/daemon/routing/ResponseSink.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/routing/ResponseSink.java
@@ -13,10 +13,10 @@
 
 /**
  * Passes the output of one request from engine calls to the thread that writes the caller's
- * response. Only the producer that was opened last may append; chunks of other producers are
- * dropped and counted, so output of a superseded attempt or of another request cannot reach the
- * caller. The queue grows to at most the complete output of the request. Safe for use by several
- * threads.
+ * response. Only the producer that was opened, or took over, last may append; chunks of other
+ * producers are dropped and counted, so output of a superseded attempt or of another request cannot
+ * reach the caller. The queue grows to at most the complete output of the request. Safe for use by
+ * several threads.
  */
 public final class ResponseSink {
   private final BlockingQueue<SinkEvent> events = new LinkedBlockingQueue<>();
@@ -38,11 +38,34 @@
 
   /** Opens a producer for an attempt; from then on no other producer may append. */
   public synchronized Producer openProducer(AttemptId attempt) {
-    Producer producer = new Producer(attempt);
+    Producer producer = new Producer(attempt, tokens);
     currentProducer = producer;
     return producer;
   }
 
+  /** Creates a producer that may append once it has taken over from the current one. */
+  public synchronized Producer createReplacement(AttemptId attempt) {
+    return new Producer(attempt, tokens);
+  }
+
+  /**
+   * Makes a producer the current one, unless tokens were appended since it was created, which its
+   * output would repeat.
+   *
+   * @return whether the producer is the current one now
+   */
+  public synchronized boolean takeOver(Producer producer) {
+    if (producer != currentProducer && !closed && tokens == producer.tokensBefore) {
+      currentProducer = producer;
+    }
+    return isCurrent(producer);
+  }
+
+  /** Returns the attempt of the current producer, or null if none was opened. */
+  public synchronized @Nullable AttemptId currentAttempt() {
+    return currentProducer == null ? null : currentProducer.attempt();
+  }
+
   /**
    * Appends a chunk to the output. Returns false and drops the chunk when the producer is not the
    * current one or the sink is closed.
@@ -98,9 +121,11 @@
   /** Identifies one engine call as the source of output. Compared by identity. */
   public static final class Producer {
     private final AttemptId attempt;
+    private final int tokensBefore;
 
-    private Producer(AttemptId attempt) {
+    private Producer(AttemptId attempt, int tokensBefore) {
       this.attempt = attempt;
+      this.tokensBefore = tokensBefore;
     }
 
     /** Returns the attempt that this producer belongs to. */
--- a/daemon/src/main/java/org/mustardlatch/daemon/upstream/ActiveCalls.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/upstream/ActiveCalls.java
@@ -24,6 +24,11 @@
         .forEach(EngineCall::cancel);
   }
 
+  /** Returns whether a call of an attempt is in progress and was not cancelled. */
+  boolean contains(AttemptId attempt) {
+    return calls.stream().anyMatch(c -> c.attempt().equals(attempt) && !c.isCancelled());
+  }
+
   int size() {
     return calls.size();
   }
--- a/daemon/src/main/java/org/mustardlatch/daemon/upstream/DecodeCall.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/upstream/DecodeCall.java
@@ -13,6 +13,7 @@
 import okhttp3.sse.EventSources;
 import okio.Okio;
 import org.jspecify.annotations.Nullable;
+import org.mustardlatch.core.model.AttemptId;
 import org.mustardlatch.core.routing.Failure;
 import org.mustardlatch.core.routing.RoutingEvent;
 import org.mustardlatch.daemon.routing.Chunk;
@@ -41,7 +42,17 @@
 
   @Override
   void readResponse(Response response, ProgressMonitor monitor) throws IOException {
+    AttemptId earlier = exchange().sink().currentAttempt();
+    if (!exchange().sink().takeOver(producer)) {
+      // The engine before has sent output after all, so the router cancels this call.
+      postFailure(Failure.REFUSED);
+      return;
+    }
     post(new RoutingEvent.DecodeStarted(attempt()));
+    if (earlier != null && !earlier.equals(attempt())) {
+      // Tells the router in case that it has given up this call in the meantime.
+      post(new RoutingEvent.DecodeFailed(earlier, Failure.DISCONNECTED));
+    }
     monitor.recordProgress(timeouts().firstToken());
     ResponseBody body = response.body();
     EventSizeLimit limit = new EventSizeLimit(body.source());
--- a/daemon/src/main/java/org/mustardlatch/daemon/upstream/EngineClient.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/upstream/EngineClient.java
@@ -60,8 +60,10 @@
 
   @Override
   public void startPrefill(GenerationExchange exchange, AttemptId attempt, UpstreamId upstream) {
-    // Stops the earlier attempt from adding output that the prompt of this attempt would lack.
-    exchange.sink().openProducer(attempt);
+    if (!replacesRunningCall(exchange, attempt)) {
+      // Stops the earlier attempt from adding output that the prompt of this attempt would lack.
+      exchange.sink().openProducer(attempt);
+    }
     Optional<UpstreamHost> host = hosts.find(upstream);
     if (host.isEmpty()) {
       events.accept(new RoutingEvent.PrefillFailed(attempt, Failure.REFUSED));
@@ -76,7 +78,10 @@
   @Override
   public void startDecode(
       GenerationExchange exchange, AttemptId attempt, UpstreamId upstream, KvHandle handle) {
-    Producer producer = exchange.sink().openProducer(attempt);
+    Producer producer =
+        replacesRunningCall(exchange, attempt)
+            ? exchange.sink().createReplacement(attempt)
+            : exchange.sink().openProducer(attempt);
     Optional<UpstreamHost> host = hosts.find(upstream);
     Optional<HttpUrl> source = hosts.find(handle.source()).map(UpstreamHost::baseUrl);
     Optional<JsonNode> transfer = exchange.transferParameters(handle.reference());
@@ -91,6 +96,12 @@
     start(new DecodeCall(context, host.get(), exchange, producer, timeouts(exchange), call));
   }
 
+  /** Returns whether an earlier attempt may still add output: its engine is only silent. */
+  private boolean replacesRunningCall(GenerationExchange exchange, AttemptId attempt) {
+    AttemptId earlier = exchange.sink().currentAttempt();
+    return earlier != null && !earlier.equals(attempt) && activeCalls.contains(earlier);
+  }
+
   @Override
   public void cancel(AttemptId attempt, UpstreamId upstream) {
     activeCalls.cancel(attempt, upstream);
--- a/daemon/src/test/java/org/mustardlatch/daemon/routing/ResponseSinkTest.java
+++ b/daemon/src/test/java/org/mustardlatch/daemon/routing/ResponseSinkTest.java
@@ -33,6 +33,34 @@
     assertThat(sink.poll(Duration.ZERO)).isInstanceOf(SinkEvent.ChunkAppended.class);
   }
 
+  /** An engine that is only silent may go on until another one has accepted the request. */
+  @Test
+  void replacementAppendsOnceItHasTakenOver() {
+    ResponseSink.Producer first = sink.openProducer(attempt);
+    assertThat(sink.append(first, chunk("a"))).isTrue();
+    ResponseSink.Producer replacement = sink.createReplacement(attempt);
+    assertThat(sink.append(replacement, chunk("early"))).isFalse();
+
+    assertThat(sink.takeOver(replacement)).isTrue();
+
+    assertThat(sink.append(first, chunk("late"))).isFalse();
+    assertThat(sink.append(replacement, chunk("b"))).isTrue();
+    assertThat(sink.partialOutput().text()).isEqualTo("ab");
+  }
+
+  @Test
+  void replacementDoesNotTakeOverAfterTokensThatItWouldRepeat() {
+    ResponseSink.Producer first = sink.openProducer(attempt);
+    ResponseSink.Producer replacement = sink.createReplacement(attempt);
+    assertThat(sink.append(first, chunk("a"))).isTrue();
+
+    assertThat(sink.takeOver(replacement)).isFalse();
+
+    assertThat(sink.append(replacement, chunk("a"))).isFalse();
+    assertThat(sink.append(first, chunk("b"))).isTrue();
+    assertThat(sink.partialOutput().text()).isEqualTo("ab");
+  }
+
   @Test
   void producerOfAnotherRequestIsRejected() {
     ResponseSink other = new ResponseSink(droppedChunks);
--- a/gateway/src/main/java/org/mustardlatch/gateway/EngineCalls.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/EngineCalls.java
@@ -360,22 +360,69 @@
     }
   }
 
-  /** Forwards the event stream of a decode to the caller. */
+  /**
+   * Forwards the event stream of a decode to the caller. If another decode of the stream is in
+   * progress, which is silent, this one replaces it when its engine has accepted it, unless events
+   * of the other have arrived by then.
+   */
   private final class DecodeResponseListener implements CallListener {
     private final AttemptId attempt;
     private final GenerationStream stream;
     private final Instance target;
     private final boolean resumed;
+    private final int eventsBefore;
     private @Nullable BufferedResponse response;
+    private boolean abandoned;
 
     DecodeResponseListener(AttemptId attempt, GenerationStream stream, Instance target) {
       this.attempt = attempt;
       this.stream = stream;
       this.target = target;
       this.resumed = stream.exchange.caller().responseStarted();
+      this.eventsBefore = stream.events.eventCount();
+      if (silentDecode() == null) {
+        forward();
+      }
+    }
+
+    /** Returns the decode in progress that this one is to replace, or null. */
+    private @Nullable AttemptId silentDecode() {
+      AttemptId other = stream.forwardedAttempt;
+      return other != null && !other.equals(attempt) && calls.containsKey(other) ? other : null;
+    }
+
+    private void forward() {
+      stream.forwardedAttempt = attempt;
       stream.events.resume();
     }
 
+    private boolean isForwarded() {
+      return attempt.equals(stream.forwardedAttempt);
+    }
+
+    /**
+     * Starts to forward this decode, whose engine has accepted it, in place of the silent one.
+     *
+     * @return false if events have arrived that this decode would repeat
+     */
+    private boolean takeOver() {
+      if (stream.events.eventCount() != eventsBefore) {
+        return false;
+      }
+      AttemptId silent = silentDecode();
+      forward();
+      if (silent != null) {
+        ActiveCall call = calls.remove(silent);
+        if (call != null) {
+          call.call.cancel();
+          crashDetector.observe(call.target, stream.exchange, call.sentNanos);
+        }
+        // The router has cancelled it when it gets this, unless it has given up this decode.
+        emit(new RoutingEvent.DecodeFailed(silent, Failure.DISCONNECTED));
+      }
+      return true;
+    }
+
     @Override
     public void sent() {
       stream.exchange.recordSent();
@@ -387,8 +434,13 @@
       response = received;
       // An engine that can't fetch the KV cache refuses, so the head of a stream says that it has.
       // Its first event may take longer than the KV cache would have been kept.
-      if (isUpstreamSuccess(received)) {
-        emit(new RoutingEvent.DecodeStarted(attempt));
+      if (!isUpstreamSuccess(received)) {
+        return;
+      }
+      // Comes before the end of the decode that is replaced.
+      emit(new RoutingEvent.DecodeStarted(attempt));
+      if (!isForwarded() && !takeOver()) {
+        abandon("the engine before has gone on");
       }
     }
 
@@ -410,7 +462,7 @@
     @Override
     public void bodyReceived(ByteBuf part) {
       BufferedResponse received = response;
-      if (received == null) {
+      if (received == null || abandoned) {
         return;
       }
       if (!isUpstreamSuccess(received)) {
@@ -436,6 +488,7 @@
 
     /** Closes the connection of a response whose rest is of no use. */
     private void abandon(String reason) {
+      abandoned = true;
       ActiveCall active = calls.get(attempt);
       if (active != null) {
         active.call.cancel();
@@ -476,7 +529,9 @@
       if (received == null) {
         return;
       }
-      stream.end = end;
+      if (isForwarded()) {
+        stream.end = end;
+      }
       if (isUpstreamSuccess(received) && !endsAfterEvent()) {
         callBroken(call, CallFailure.BROKEN, "response ended inside an event");
       } else if (isUpstreamSuccess(received)) {
@@ -511,7 +566,9 @@
     }
 
     private void callBroken(@Nullable ActiveCall call, CallFailure failure, String reason) {
-      stream.events.discardIncompleteEvent();
+      if (isForwarded()) {
+        stream.events.discardIncompleteEvent();
+      }
       recordFailure(failure + " " + reason);
       if (failure == CallFailure.NOT_SENT) {
         emit(new RoutingEvent.DecodeFailed(attempt, Failure.REFUSED));
--- a/gateway/src/main/java/org/mustardlatch/gateway/GenerationStream.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/GenerationStream.java
@@ -22,6 +22,9 @@
    */
   @Nullable BufferedResponse lastErrorResponse;
 
+  /** The decode whose events are forwarded to the caller; null before the first one. */
+  @Nullable AttemptId forwardedAttempt;
+
   /** How the end of the last response to a decode was recognized. */
   ResponseEnd end = ResponseEnd.FRAMING;
 
