Cancel a replacement in the own interface that was accepted too late

A replacement whose engine accepts it after the silent engine has sent output was reported as refused, so that its engine was not told to stop if the router had not dropped it yet. It is reported as disconnected, which cancels it.

--- a/daemon/src/main/java/org/mustardlatch/daemon/upstream/DecodeCall.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/upstream/DecodeCall.java
@@ -44,8 +44,8 @@
   void readResponse(Response response, ProgressMonitor monitor) throws IOException {
     AttemptId earlier = exchange().sink().currentAttempt();
     if (!exchange().sink().takeOver(producer)) {
-      // The engine before has sent output after all, so the router cancels this call.
-      postFailure(Failure.REFUSED);
+      // The engine before has sent output after all, so this one must stop.
+      postFailure(Failure.DISCONNECTED);
       return;
     }
     post(new RoutingEvent.DecodeStarted(attempt()));
--- a/gateway/src/main/java/org/mustardlatch/gateway/GenerationRequestHandler.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/GenerationRequestHandler.java
@@ -188,7 +188,7 @@
             exchange.route().maxAttempts(),
             plannedOutputTokens(metadata),
             parts,
-            // Callers need not state the output, and more events than it may come.
+            // Callers need not state their output, and it is not the number of events.
             false);
     EventLog.log(
         LogEvent.GENERATION_ARRIVED,
