Decode workspaces, ranks and public routes, and carry them to upstreams and peers

Cause: the platform's configuration names workspaces with keys, allowances and ranks, and routes with ranks, and none of it was decoded.

Change: GatewayWorkspace, Allowance and StreamRanks; the rank of a generation goes to the admitting node (Reserve.rank) and to engines, the name of the workspace to upstreams in place of the caller's key. No request is refused for its key yet.

--- a/core/src/main/java/org/mustardlatch/core/peer/AdmissionMessage.java
+++ b/core/src/main/java/org/mustardlatch/core/peer/AdmissionMessage.java
@@ -21,6 +21,7 @@
    * @param firstTokenBudgetNanos time left until the first-token deadline, nanoseconds
    * @param finalBudgetNanos time left until the final deadline, nanoseconds
    * @param excluded upstreams that must not be used, for example after a failure
+   * @param rank urgency, from 0 for the most urgent to 9
    */
   record Reserve(
       AttemptId attempt,
@@ -33,7 +34,8 @@
       Fingerprint fingerprint,
       long firstTokenBudgetNanos,
       long finalBudgetNanos,
-      List<UpstreamId> excluded)
+      List<UpstreamId> excluded,
+      int rank)
       implements AdmissionMessage {
     /** Copies the lists. */
     public Reserve {
@@ -49,6 +51,7 @@
    * @param source prefill engine that retains the KV cache
    * @param kvBudgetNanos time left until the KV cache expires, nanoseconds
    * @param excluded upstreams that must not be used
+   * @param rank urgency, from 0 for the most urgent to 9
    */
   record ReserveDecode(
       AttemptId attempt,
@@ -60,7 +63,8 @@
       Fingerprint fingerprint,
       UpstreamId source,
       long kvBudgetNanos,
-      List<UpstreamId> excluded)
+      List<UpstreamId> excluded,
+      int rank)
       implements AdmissionMessage {
     /** Copies the list. */
     public ReserveDecode {
--- a/core/src/main/java/org/mustardlatch/core/routing/AttemptDriver.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/AttemptDriver.java
@@ -80,7 +80,8 @@
               r.fingerprint(),
               kv.source(),
               kv.expiresNanos() - now,
-              excluded));
+              excluded,
+              r.rank()));
       return;
     }
     List<Long> prefix = r.prefixBlocks();
@@ -99,7 +100,8 @@
             r.fingerprint(),
             firstTokenBudgetNanos(q, a),
             r.finalDeadlineNanos() - now,
-            excluded));
+            excluded,
+            r.rank()));
   }
 
   /**
--- a/core/src/main/java/org/mustardlatch/core/routing/GenerationRequest.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/GenerationRequest.java
@@ -27,6 +27,7 @@
  * @param promptParts digests of the parts of the prompt that other requests may share
  * @param endsAtMaxOutput whether a generation that breaks off after {@code maxOutputTokens} is
  *     complete; false if only the end of an engine's response tells that nothing is missing
+ * @param rank urgency, from 0 for the most urgent to 9
  */
 public record GenerationRequest(
     RequestId id,
@@ -43,7 +44,11 @@
     int maxRuns,
     int plannedOutputTokens,
     List<Fingerprint> promptParts,
-    boolean endsAtMaxOutput) {
+    boolean endsAtMaxOutput,
+    int rank) {
+  /** Rank of a request that states none, as engines assume it. */
+  public static final int DEFAULT_RANK = 5;
+
   /** Copies the lists and checks {@code maxRuns}. */
   public GenerationRequest {
     prefixBlocks = List.copyOf(prefixBlocks);
@@ -83,7 +88,8 @@
         Integer.MAX_VALUE,
         maxOutputTokens,
         List.of(),
-        true);
+        true,
+        DEFAULT_RANK);
   }
 
   /** Returns the same request with other parts of its prompt. */
@@ -103,6 +109,7 @@
         maxRuns,
         plannedOutputTokens,
         parts,
-        endsAtMaxOutput);
+        endsAtMaxOutput,
+        rank);
   }
 }
--- a/core/src/main/java/org/mustardlatch/core/routing/ReservationRequest.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/ReservationRequest.java
@@ -22,6 +22,7 @@
  * @param budgetNanos time from the arrival of this request to that deadline
  * @param excludedUpstreams engines that already failed the request; used only if no other engine of
  *     their pool is usable
+ * @param rank urgency, from 0 for the most urgent to 9
  */
 record ReservationRequest(
     AttemptId attempt,
@@ -34,7 +35,8 @@
     @Nullable UpstreamId kvSource,
     long firstTokenDeadlineNanos,
     long budgetNanos,
-    List<UpstreamId> excludedUpstreams) {
+    List<UpstreamId> excludedUpstreams,
+    int rank) {
 
   static ReservationRequest of(Reserve r, HostId from, long now) {
     return new ReservationRequest(
@@ -48,7 +50,8 @@
         null,
         now + r.firstTokenBudgetNanos(),
         r.firstTokenBudgetNanos(),
-        r.excluded());
+        r.excluded(),
+        r.rank());
   }
 
   static ReservationRequest of(ReserveDecode r, HostId from, long now) {
@@ -63,7 +66,8 @@
         r.source(),
         now + r.kvBudgetNanos(),
         r.kvBudgetNanos(),
-        r.excluded());
+        r.excluded(),
+        r.rank());
   }
 
   /** Returns the KV memory of the prompt, in pieces of {@code pieceTokens} tokens. */
--- a/core/src/test/java/org/mustardlatch/core/routing/FairQueueTest.java
+++ b/core/src/test/java/org/mustardlatch/core/routing/FairQueueTest.java
@@ -24,7 +24,8 @@
         null,
         0,
         0,
-        List.of());
+        List.of(),
+        GenerationRequest.DEFAULT_RANK);
   }
 
   private List<String> serve(int count) {
--- a/core/src/test/java/org/mustardlatch/core/routing/NodeRouterTest.java
+++ b/core/src/test/java/org/mustardlatch/core/routing/NodeRouterTest.java
@@ -475,7 +475,8 @@
         1,
         r.maxOutputTokens(),
         List.of(),
-        true);
+        true,
+        r.rank());
   }
 
   @Test
--- a/core/src/test/java/org/mustardlatch/core/routing/PlacerTest.java
+++ b/core/src/test/java/org/mustardlatch/core/routing/PlacerTest.java
@@ -97,7 +97,8 @@
             null,
             NOW + 900 * MILLI,
             900 * MILLI,
-            List.of());
+            List.of(),
+            GenerationRequest.DEFAULT_RANK);
     return placer.place(request, false, transferLimiter, false, NOW);
   }
 
--- a/core/src/test/java/org/mustardlatch/core/routing/StalledStreamMoverTest.java
+++ b/core/src/test/java/org/mustardlatch/core/routing/StalledStreamMoverTest.java
@@ -92,7 +92,8 @@
         maxRuns,
         r.maxOutputTokens(),
         List.of(),
-        true);
+        true,
+        r.rank());
   }
 
   private void reserveIfRequested() {
--- a/gateway/src/main/java/org/mustardlatch/gateway/ApplicationRequestHandler.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/ApplicationRequestHandler.java
@@ -271,7 +271,15 @@
       attemptedUpstreams.add(c.id());
       attemptCount++;
       long remainingMillis = Math.max(1, (exchange.deadlineNanos() - now) / 1_000_000);
-      var plan = new UpstreamCallPlan(target, remainingMillis, UpstreamCallPlan.WHOLE, null, null);
+      var plan =
+          new UpstreamCallPlan(
+              target,
+              remainingMillis,
+              UpstreamCallPlan.WHOLE,
+              null,
+              null,
+              exchange.identity(),
+              exchange.rank());
       double predicted = balancer.predictedResponseNanos(c, now);
       EventLog.log(
           LogEvent.REQUEST_SENT,
--- a/gateway/src/main/java/org/mustardlatch/gateway/Gateway.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/Gateway.java
@@ -275,6 +275,8 @@
             metadata,
             route,
             service,
+            null,
+            c.streamRanks().rank(route, null),
             protocol,
             firstAttemptTimeout(route, metadata),
             metrics);
--- a/gateway/src/main/java/org/mustardlatch/gateway/GenerationRequestHandler.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/GenerationRequestHandler.java
@@ -189,7 +189,8 @@
             plannedOutputTokens(metadata),
             parts,
             // Callers need not state their output, and it is not the number of events.
-            false);
+            false,
+            exchange.rank().orElse(GenerationRequest.DEFAULT_RANK));
     EventLog.log(
         LogEvent.GENERATION_ARRIVED,
         exchange.callerRequestId(),
--- a/gateway/src/main/java/org/mustardlatch/gateway/GenerationStream.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/GenerationStream.java
@@ -39,7 +39,13 @@
       Instance target, UpstreamCallPlan.Work work, @Nullable String reservationId) {
     long remainingMillis = (exchange.deadlineNanos() - System.nanoTime()) / 1_000_000;
     return new UpstreamCallPlan(
-        target, Math.max(1, remainingMillis), work, events.lastEventId(), reservationId);
+        target,
+        Math.max(1, remainingMillis),
+        work,
+        events.lastEventId(),
+        reservationId,
+        exchange.identity(),
+        exchange.rank());
   }
 
   /** Logs the timing of the events of a complete stream. */
--- a/gateway/src/main/java/org/mustardlatch/gateway/PlatformProtocol.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/PlatformProtocol.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import java.time.Duration;
+import org.jspecify.annotations.Nullable;
 import org.mustardlatch.gateway.config.Instance;
 import org.mustardlatch.gateway.http.CallRequest;
 
@@ -16,6 +17,9 @@
    */
   RequestMetadata readRequest(HttpHeaders headers);
 
+  /** Returns the API key in the headers of a caller's request, or null if there is none. */
+  @Nullable String readApiKey(HttpHeaders headers);
+
   /** Removes the headers that only the router may set and adds those of a call. */
   void rewriteHeaders(HttpHeaders headers, UpstreamCallPlan plan);
 
--- a/gateway/src/main/java/org/mustardlatch/gateway/RoutedExchange.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/RoutedExchange.java
@@ -12,6 +12,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.mustardlatch.core.error.ErrorCode;
@@ -44,6 +45,8 @@
   private final RequestMetadata metadata;
   private final GatewayRoute route;
   private final GatewayService service;
+  private final @Nullable CallerIdentity identity;
+  private final OptionalInt rank;
   private final PlatformProtocol protocol;
   private final GatewayMetrics metrics;
   private final long deadlineNanos;
@@ -57,6 +60,8 @@
       RequestMetadata metadata,
       GatewayRoute route,
       GatewayService service,
+      @Nullable CallerIdentity identity,
+      OptionalInt rank,
       PlatformProtocol protocol,
       Duration firstAttemptTimeout,
       GatewayMetrics metrics) {
@@ -65,6 +70,8 @@
     this.metadata = metadata;
     this.route = route;
     this.service = service;
+    this.identity = identity;
+    this.rank = rank;
     this.metrics = metrics;
     this.protocol = protocol;
     long timeoutMillis = route.timeout().toMillis();
@@ -103,6 +110,16 @@
     return service;
   }
 
+  /** Returns whom upstreams are told to work for; null if the configuration has no workspaces. */
+  @Nullable CallerIdentity identity() {
+    return identity;
+  }
+
+  /** Returns the urgency of a generation; empty if all are equal. */
+  OptionalInt rank() {
+    return rank;
+  }
+
   /**
    * Returns the estimated time that the caller spent in earlier attempts that were refused,
    * nanoseconds.
--- a/gateway/src/main/java/org/mustardlatch/gateway/UpstreamCallPlan.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/UpstreamCallPlan.java
@@ -1,5 +1,6 @@
 package org.mustardlatch.gateway;
 
+import java.util.OptionalInt;
 import org.jspecify.annotations.Nullable;
 import org.mustardlatch.gateway.config.Instance;
 
@@ -12,13 +13,18 @@
  * @param resumeAfterEventId id of the last event that the caller received; null to start at the
  *     beginning
  * @param reservationId the engine's id of the reservation for this request; null for none
+ * @param identity whom the upstream is told to work for; null if the configuration has no
+ *     workspaces
+ * @param rank urgency of a generation, from 0 for the most urgent to 9; empty if all are equal
  */
 public record UpstreamCallPlan(
     Instance target,
     long remainingMillis,
     Work work,
     @Nullable String resumeAfterEventId,
-    @Nullable String reservationId) {
+    @Nullable String reservationId,
+    @Nullable CallerIdentity identity,
+    OptionalInt rank) {
   /** The part of a request that one upstream processes. */
   public sealed interface Work {
     /** The complete request: an application request, or a prefill and its decode. */
--- a/gateway/src/main/java/org/mustardlatch/gateway/config/GatewayConfiguration.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/config/GatewayConfiguration.java
@@ -2,27 +2,41 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
-/** One version of the routes, services and caller limits of a gateway. Immutable. */
+/** One version of the routes, services, workspaces and caller limits of a gateway. Immutable. */
 public final class GatewayConfiguration {
   private final long version;
   private final Map<String, List<GatewayRoute>> routesByHost = new HashMap<>();
   private final Map<String, GatewayService> services = new HashMap<>();
+  private final List<GatewayWorkspace> workspaces;
+  private final Map<String, GatewayWorkspace> workspacesByKey = new HashMap<>();
+  private final StreamRanks streamRanks;
   private final CallerLimits limits;
 
   /**
    * Creates a configuration.
    *
    * @param version increases with every change
-   * @throws IllegalArgumentException if a route refers to a service that is not in {@code services}
+   * @param workspaces empty if callers need no API key
+   * @throws IllegalArgumentException if a route refers to a service that is not in {@code
+   *     services}, or two workspaces have the same name or key
    */
   public GatewayConfiguration(
-      long version, List<GatewayRoute> routes, List<GatewayService> services, CallerLimits limits) {
+      long version,
+      List<GatewayRoute> routes,
+      List<GatewayService> services,
+      List<GatewayWorkspace> workspaces,
+      CallerLimits limits) {
     this.version = version;
     this.limits = limits;
+    this.workspaces = List.copyOf(workspaces);
+    this.streamRanks = StreamRanks.of(routes, workspaces);
+    addWorkspaces();
     services.forEach(s -> this.services.put(s.name(), s));
     Map<String, List<GatewayRoute>> byHost = new HashMap<>();
     for (GatewayRoute route : routes) {
@@ -37,6 +51,20 @@
     byHost.forEach((host, list) -> routesByHost.put(host, List.copyOf(list)));
   }
 
+  private void addWorkspaces() {
+    Set<String> names = new HashSet<>();
+    for (GatewayWorkspace w : workspaces) {
+      if (!names.add(w.name())) {
+        throw new IllegalArgumentException("workspace " + w.name() + " occurs twice");
+      }
+      for (String key : w.apiKeys()) {
+        if (workspacesByKey.put(key, w) != null) {
+          throw new IllegalArgumentException("a key of workspace " + w.name() + " occurs twice");
+        }
+      }
+    }
+  }
+
   /** Returns the version, which increases with every change. */
   public long version() {
     return version;
@@ -57,6 +85,26 @@
     return services.values();
   }
 
+  /** Returns all workspaces. */
+  public List<GatewayWorkspace> workspaces() {
+    return workspaces;
+  }
+
+  /** Returns whether callers need an API key, except on public routes. */
+  public boolean hasWorkspaces() {
+    return !workspaces.isEmpty();
+  }
+
+  /** Returns the workspace that has an API key, or null if none has. */
+  public @Nullable GatewayWorkspace findWorkspace(String apiKey) {
+    return workspacesByKey.get(apiKey);
+  }
+
+  /** Returns the ranks of the generations that this configuration allows. */
+  public StreamRanks streamRanks() {
+    return streamRanks;
+  }
+
   /** Returns the service with the given name, or null if there is none. */
   public @Nullable GatewayService findService(String name) {
     return services.get(name);
--- a/gateway/src/main/java/org/mustardlatch/gateway/config/GatewayRoute.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/config/GatewayRoute.java
@@ -17,6 +17,8 @@
  * @param services services that receive the requests; at least one
  * @param maxAttempts maximum number of upstreams that one request may run on, at least 1
  * @param resumable whether another upstream may resume an interrupted stream
+ * @param rank urgency of its requests, at least 0; 0 is the most urgent
+ * @param isPublic whether its requests need no API key
  */
 public record GatewayRoute(
     String name,
@@ -28,7 +30,12 @@
     Duration eventGapTarget,
     List<ServiceWeight> services,
     int maxAttempts,
-    boolean resumable) {
+    boolean resumable,
+    int rank,
+    boolean isPublic) {
+  /** Rank of a route or workspace that states none. */
+  public static final int DEFAULT_RANK = 5;
+
   /** Copies the list and checks that there is at least one service and one attempt. */
   public GatewayRoute {
     services = List.copyOf(services);
@@ -38,6 +45,9 @@
     if (maxAttempts < 1) {
       throw new IllegalArgumentException("maxAttempts must be at least 1, got " + maxAttempts);
     }
+    if (rank < 0) {
+      throw new IllegalArgumentException("rank of route " + name + " is " + rank);
+    }
   }
 
   /** Returns whether a request may be repeated after a previous attempt may have executed. */
--- a/gateway/src/test/java/org/mustardlatch/gateway/TestGateway.java
+++ b/gateway/src/test/java/org/mustardlatch/gateway/TestGateway.java
@@ -107,6 +107,7 @@
             new GatewayService(
                 "engine",
                 new EngineSpec(8, 32_000, 1000, Duration.ofMillis(500), maxReservationTtl))),
+        List.of(),
         CallerLimits.DEFAULT);
   }
 
@@ -122,7 +123,9 @@
         Duration.ZERO,
         List.of(new ServiceWeight(service, 1)),
         2,
-        resumable);
+        resumable,
+        GatewayRoute.DEFAULT_RANK,
+        false);
   }
 
   /** Registers an application upstream. */
--- a/gateway/src/test/java/org/mustardlatch/gateway/TestProtocol.java
+++ b/gateway/src/test/java/org/mustardlatch/gateway/TestProtocol.java
@@ -10,6 +10,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.OptionalDouble;
+import org.jspecify.annotations.Nullable;
 import org.mustardlatch.gateway.config.Instance;
 import org.mustardlatch.gateway.http.CallRequest;
 
@@ -30,6 +31,11 @@
         List.of());
   }
 
+  @Override
+  public @Nullable String readApiKey(HttpHeaders headers) {
+    return headers.get("Key");
+  }
+
   @Override
   public void rewriteHeaders(HttpHeaders headers, UpstreamCallPlan plan) {
     headers.set("For", plan.target().id());
@@ -41,6 +47,11 @@
     if (plan.resumeAfterEventId() != null) {
       headers.set("After", plan.resumeAfterEventId());
     }
+    CallerIdentity identity = plan.identity();
+    if (identity != null) {
+      headers.remove("Key");
+      headers.set("Workspace", String.valueOf(identity.workspace()));
+    }
   }
 
   @Override
--- a/gateway/src/test/java/org/mustardlatch/gateway/config/GatewayConfigurationTest.java
+++ b/gateway/src/test/java/org/mustardlatch/gateway/config/GatewayConfigurationTest.java
@@ -21,6 +21,8 @@
         Duration.ZERO,
         List.of(to),
         1,
+        false,
+        GatewayRoute.DEFAULT_RANK,
         false);
   }
 
@@ -29,6 +31,7 @@
         1,
         List.of(routes),
         List.of(new GatewayService("s", null), new GatewayService("t", null)),
+        List.of(),
         CallerLimits.DEFAULT);
   }
 
--- a/wire/src/main/java/org/mustardlatch/wire/AdmissionCodec.java
+++ b/wire/src/main/java/org/mustardlatch/wire/AdmissionCodec.java
@@ -8,6 +8,7 @@
 import org.mustardlatch.core.model.UpstreamId;
 import org.mustardlatch.core.model.WorkspaceId;
 import org.mustardlatch.core.peer.AdmissionMessage;
+import org.mustardlatch.core.routing.GenerationRequest;
 import org.mustardlatch.wire.generated.PeerProto;
 import org.mustardlatch.wire.generated.PeerProto.Envelope;
 import org.mustardlatch.wire.generated.PeerProto.Outcome;
@@ -122,6 +123,7 @@
         .setFirstTokenBudgetNanos(m.firstTokenBudgetNanos())
         .setFinalBudgetNanos(m.finalBudgetNanos())
         .addAllExcluded(m.excluded().stream().map(UpstreamId::value).toList())
+        .setRank(m.rank())
         .build();
   }
 
@@ -137,7 +139,8 @@
         PeerCodec.fingerprintFromBytes(m.getFingerprint()),
         m.getFirstTokenBudgetNanos(),
         m.getFinalBudgetNanos(),
-        m.getExcludedList().stream().map(UpstreamId::new).toList());
+        m.getExcludedList().stream().map(UpstreamId::new).toList(),
+        m.hasRank() ? m.getRank() : GenerationRequest.DEFAULT_RANK);
   }
 
   private static PeerProto.ReserveDecode reserveDecode(AdmissionMessage.ReserveDecode m) {
@@ -152,6 +155,7 @@
         .setSource(m.source().value())
         .setKvBudgetNanos(m.kvBudgetNanos())
         .addAllExcluded(m.excluded().stream().map(UpstreamId::value).toList())
+        .setRank(m.rank())
         .build();
   }
 
@@ -166,7 +170,8 @@
         PeerCodec.fingerprintFromBytes(m.getFingerprint()),
         new UpstreamId(m.getSource()),
         m.getKvBudgetNanos(),
-        m.getExcludedList().stream().map(UpstreamId::new).toList());
+        m.getExcludedList().stream().map(UpstreamId::new).toList(),
+        m.hasRank() ? m.getRank() : GenerationRequest.DEFAULT_RANK);
   }
 
   private static PeerProto.Attempt attempt(AttemptId attempt) {
--- a/wire/src/test/java/org/mustardlatch/wire/bench/BenchMessages.java
+++ b/wire/src/test/java/org/mustardlatch/wire/bench/BenchMessages.java
@@ -33,7 +33,8 @@
         new Fingerprint("0123456789abcdef".repeat(4)),
         850_000_000L,
         60_000_000_000L,
-        List.of());
+        List.of(),
+        2);
   }
 
   static ReserveGranted granted(Reserve m) {
