Send second copies of slow requests within a share that the operator sets

Cause: a few slow upstreams decide the slowest responses. The present copies have no limit of their own, and their delay, three times a prediction, does not follow the response times of the service.

Change: HedgePolicy learns the delay from the service's response times and keeps copies within repeats.max_share; copies need a unit of the retry budget and an upstream with a free slot. Without the setting nothing changes.

--- a/core/src/main/java/org/mustardlatch/core/balancing/Balancer.java
+++ b/core/src/main/java/org/mustardlatch/core/balancing/Balancer.java
@@ -83,22 +83,39 @@
     return state(c.id()).backoffUntilNanos > now ? score + Long.MAX_VALUE / 2.0 : score;
   }
 
+  /**
+   * Returns whether an upstream that is not avoided is expected to have a free slot.
+   *
+   * @param now monotonic time, nanoseconds
+   */
+  public boolean hasFreeSlot(Candidate c, long now) {
+    UpstreamState s = state(c.id());
+    return s.backoffUntilNanos <= now && concurrentRequests(s, now) + 1 <= c.slots();
+  }
+
   /** Returns the predicted time from sending a request until its response, nanoseconds. */
   public double predictedResponseNanos(Candidate c, long now) {
     UpstreamState s = state(c.id());
-    double concurrentRequests = s.inFlight;
-    double slowdownFactor = 1;
     UpstreamLoad load = s.load;
-    if (load != null && now - s.loadReportedNanos < MAX_LOAD_AGE_NANOS) {
-      double otherRequests = Math.max(0, load.running() + load.waiting() - s.inFlightAtLoadReport);
-      concurrentRequests +=
-          otherRequests * (1 - (double) (now - s.loadReportedNanos) / MAX_LOAD_AGE_NANOS);
-      slowdownFactor = load.slowdownFactor();
-    }
-    double queued = Math.max(0, concurrentRequests + 1 - c.slots());
+    double slowdownFactor = load != null && loadIsRecent(s, now) ? load.slowdownFactor() : 1;
+    double queued = Math.max(0, concurrentRequests(s, now) + 1 - c.slots());
     return c.roundTripNanos() + s.serviceTimeNanos * slowdownFactor * (1 + queued / c.slots());
   }
 
+  private static double concurrentRequests(UpstreamState s, long now) {
+    UpstreamLoad load = s.load;
+    if (load == null || !loadIsRecent(s, now)) {
+      return s.inFlight;
+    }
+    double otherRequests = Math.max(0, load.running() + load.waiting() - s.inFlightAtLoadReport);
+    double weight = 1 - (double) (now - s.loadReportedNanos) / MAX_LOAD_AGE_NANOS;
+    return s.inFlight + otherRequests * weight;
+  }
+
+  private static boolean loadIsRecent(UpstreamState s, long now) {
+    return now - s.loadReportedNanos < MAX_LOAD_AGE_NANOS;
+  }
+
   /** Records that a request was sent. */
   public void requestSent(UpstreamId id) {
     state(id).inFlight++;
--- a/daemon/src/main/java/org/mustardlatch/daemon/Main.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/Main.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.ServiceLoader;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
@@ -63,19 +64,31 @@
       parser.printUsage(err);
       return EXIT_USAGE;
     }
-    return runNode(Path.of(options.config()), err);
+    for (String override : options.overrides()) {
+      if (override.indexOf('=') <= 0) {
+        err.println("error: --set needs KEY=VALUE, got " + override);
+        return EXIT_USAGE;
+      }
+    }
+    return runNode(Path.of(options.config()), options.overrides(), err);
   }
 
   /** Runs a node on a platform if an adapter recognises the settings, else a {@link Daemon}. */
-  private static int runNode(Path file, PrintStream err) {
+  private static int runNode(Path file, List<String> overrides, PrintStream err) {
     Settings settings;
     try {
       String text = Files.readString(file, StandardCharsets.UTF_8);
       for (NodeAdapter adapter : ServiceLoader.load(NodeAdapter.class)) {
         if (adapter.recognises(text)) {
-          return runOnPlatform(adapter.createComponents(file.toString(), text));
+          // Of two lines with the same key the last one counts.
+          String all = text + "\n" + String.join("\n", overrides);
+          return runOnPlatform(adapter.createComponents(file.toString(), all));
         }
       }
+      if (!overrides.isEmpty()) {
+        err.println("error: --set can't change settings in TOML; edit " + file);
+        return EXIT_USAGE;
+      }
       settings = parseSettings(file, text);
     } catch (IOException | MustardlatchException e) {
       EventLog.log(LogEvent.SETTINGS_INVALID, file);
--- a/gateway/src/main/java/org/mustardlatch/gateway/ApplicationRequestHandler.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/ApplicationRequestHandler.java
@@ -5,7 +5,9 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
@@ -13,6 +15,7 @@
 import org.jspecify.annotations.Nullable;
 import org.mustardlatch.core.balancing.Balancer;
 import org.mustardlatch.core.balancing.Candidate;
+import org.mustardlatch.core.balancing.HedgePolicy;
 import org.mustardlatch.core.balancing.RetryBudget;
 import org.mustardlatch.core.error.ErrorCode;
 import org.mustardlatch.core.model.RequestId;
@@ -43,6 +46,7 @@
   private static final double SLOW_RESPONSE_FACTOR = 3;
   private static final Duration MIN_SLOW_RESPONSE_DELAY = Duration.ofMillis(60);
   private static final int MIN_SERVER_ERROR_STATUS = 500;
+  private static final String HEDGE_REASON = "hedge";
 
   private final FleetState fleet;
   private final TimerService timers;
@@ -51,6 +55,7 @@
   private final RandomGenerator random;
   private final Balancer balancer = new Balancer();
   private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
+  private final Map<String, HedgePolicy> hedgePolicies = new HashMap<>();
   private final Map<CallerExchange, ActiveRequest> activeRequests = new HashMap<>();
   private final PlatformProtocol protocol;
   private final GatewayMetrics metrics;
@@ -91,6 +96,10 @@
   /** Sends a request to an upstream and credits the retry budget of its service. */
   void start(RoutedExchange exchange) {
     ActiveRequest request = new ActiveRequest(exchange);
+    HedgePolicy hedging = hedgePolicy(exchange.service().name());
+    if (hedging != null) {
+      hedging.requestReceived();
+    }
     activeRequests.put(exchange.caller(), request);
     retryBudget(exchange.service().name()).deposit(settings.retryBudgetRatio() / 2);
     request.sendFirstAttempt();
@@ -120,6 +129,15 @@
         service, s -> RetryLimits.budgetPerNode(settings, liveNodeCount.getAsInt()));
   }
 
+  /** Returns the policy for second copies to a service; null if the operator set no share. */
+  private @Nullable HedgePolicy hedgePolicy(String service) {
+    if (settings.maxHedgeShare().isEmpty()) {
+      return null;
+    }
+    double maxShare = settings.maxHedgeShare().getAsDouble();
+    return hedgePolicies.computeIfAbsent(service, s -> new HedgePolicy(maxShare, timers.nanos()));
+  }
+
   private List<Candidate> candidates(ActiveRequest request) {
     List<Candidate> result = new ArrayList<>();
     for (Instance i : fleet.instancesForNewWork(request.exchange.service().name())) {
@@ -289,7 +307,7 @@
           attemptReason,
           (long) (predicted / 1_000_000),
           exchange.contentId());
-      Attempt attempt = new Attempt(target, now);
+      Attempt attempt = new Attempt(target, now, attemptReason.equals(HEDGE_REASON));
       activeAttempts.add(attempt);
       balancer.requestSent(c.id());
       attempt.call = fleet.poolFor(target).send(exchange.toUpstreamRequest(plan), attempt);
@@ -301,18 +319,57 @@
      * attempt is added for slowness.
      */
     private void scheduleSlowResponseCheck(double predictedNanos) {
-      if (exchange.route().repeatable() && slowResponseTimer == null) {
-        long delay =
-            Math.max(
-                MIN_SLOW_RESPONSE_DELAY.toNanos(), (long) (SLOW_RESPONSE_FACTOR * predictedNanos));
-        slowResponseTimer = timers.schedule(Duration.ofNanos(delay), this::onSlowResponse);
+      if (!exchange.route().repeatable() || slowResponseTimer != null) {
+        return;
+      }
+      OptionalLong delay = slowResponseDelayNanos(predictedNanos);
+      if (delay.isPresent()) {
+        slowResponseTimer =
+            timers.schedule(Duration.ofNanos(delay.getAsLong()), this::onSlowResponse);
       }
     }
 
+    private OptionalLong slowResponseDelayNanos(double predictedNanos) {
+      HedgePolicy hedging = hedgePolicy(exchange.service().name());
+      if (hedging != null) {
+        return hedging.delayNanos(timers.nanos());
+      }
+      return OptionalLong.of(
+          Math.max(
+              MIN_SLOW_RESPONSE_DELAY.toNanos(), (long) (SLOW_RESPONSE_FACTOR * predictedNanos)));
+    }
+
     private void onSlowResponse() {
-      if (activeAttempts.size() == 1 && !suspect && acquireHedge()) {
-        requestRun("late_answer");
+      if (activeAttempts.size() != 1 || suspect || !mayAttemptAgain()) {
+        return;
+      }
+      HedgePolicy hedging = hedgePolicy(exchange.service().name());
+      if (hedging == null) {
+        if (acquireHedge()) {
+          requestRun("late_answer");
+        }
+        return;
       }
+      HedgePolicy.Decision decision = hedging.requestCopy(otherUpstreamHasRoom());
+      if (decision != HedgePolicy.Decision.SEND) {
+        explain("copy_not_sent", decision.name().toLowerCase(Locale.ROOT));
+      } else if (!acquireHedge()) {
+        explain("copy_not_sent", "retry_budget");
+      } else {
+        explain("copy_sent", "response is late");
+        requestRun(HEDGE_REASON);
+      }
+    }
+
+    private boolean otherUpstreamHasRoom() {
+      long now = timers.nanos();
+      Candidate next = balancer.choose(candidates(this), attemptedUpstreams, now);
+      return next != null && balancer.hasFreeSlot(next, now);
+    }
+
+    private void explain(String rule, String detail) {
+      metrics.countDecision(rule);
+      EventLog.log(LogEvent.DECISION, exchange.callerRequestId(), exchange.localId(), rule, detail);
     }
 
     /**
@@ -392,6 +449,7 @@
                 exchange.service().name()));
       }
       balancer.responseReceived(attempt.upstream, now - attempt.sentNanos, metadata.load(), now);
+      recordHedgeResult(attempt, now);
       if (response.status() >= MIN_SERVER_ERROR_STATUS && serverError == null) {
         if (!activeAttempts.isEmpty()) {
           serverError = response;
@@ -408,6 +466,21 @@
       exchange.sendResponse(response, attempt.upstream.value());
     }
 
+    /** Records response times for the delay of later copies, and which copy was faster. */
+    private void recordHedgeResult(Attempt responded, long now) {
+      HedgePolicy hedging = hedgePolicy(exchange.service().name());
+      if (hedging == null) {
+        return;
+      }
+      hedging.responseTimeObserved(now - responded.sentNanos, now);
+      for (Attempt other : activeAttempts) {
+        hedging.responseTimeObserved(now - other.sentNanos, now);
+        if (responded.isHedge || other.isHedge) {
+          explain(responded.isHedge ? "copy_won" : "copy_lost", responded.upstream.value());
+        }
+      }
+    }
+
     private void onRefusal() {
       refusalCount++;
       // The upstream states that it did not execute the request, so this is not counted as an
@@ -465,10 +538,12 @@
       private final Instance target;
       private final UpstreamId upstream;
       private final long sentNanos;
+      private final boolean isHedge;
       private @Nullable Call call;
       private boolean sent;
 
-      Attempt(Instance target, long sentNanos) {
+      Attempt(Instance target, long sentNanos, boolean isHedge) {
+        this.isHedge = isHedge;
         this.target = target;
         this.upstream = new UpstreamId(target.id());
         this.sentNanos = sentNanos;
--- a/gateway/src/main/java/org/mustardlatch/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/GatewaySettings.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import org.jspecify.annotations.Nullable;
 import org.mustardlatch.core.model.HostId;
 import org.mustardlatch.core.model.RegionId;
@@ -23,6 +24,8 @@
  * @param peerSeeds addresses of peers to contact for joining the fleet
  * @param retryBudgetRatio retries that the fleet may send to a service per request to it
  * @param retryBudgetExtra additional retries of the whole fleet in one window
+ * @param maxHedgeShare largest number of second copies per request to a service that the operator
+ *     accepts to cut slow responses, 0 to 1; empty for the default rule of the balancer
  * @param gracePeriod maximum time between a stop signal and the end of the process
  */
 public record GatewaySettings(
@@ -37,6 +40,7 @@
     List<String> peerSeeds,
     double retryBudgetRatio,
     double retryBudgetExtra,
+    OptionalDouble maxHedgeShare,
     Duration gracePeriod) {
   /**
    * Creates settings with copies of the collections.
--- a/gateway/src/test/java/org/mustardlatch/gateway/TestGateway.java
+++ b/gateway/src/test/java/org/mustardlatch/gateway/TestGateway.java
@@ -12,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Future;
@@ -56,6 +57,15 @@
 
   /** Creates a gateway whose engines keep capacity reserved for the given time, zero for none. */
   TestGateway(Duration maxReservationTtl) throws Exception {
+    this(maxReservationTtl, OptionalDouble.empty());
+  }
+
+  /** Creates a gateway whose operator accepts a share of second copies. */
+  TestGateway(OptionalDouble maxHedgeShare) throws Exception {
+    this(Duration.ZERO, maxHedgeShare);
+  }
+
+  private TestGateway(Duration maxReservationTtl, OptionalDouble maxHedgeShare) throws Exception {
     loop = group.next();
     var timers = new NettyTimerService(loop);
     fleet = new FleetState(loop, timers);
@@ -73,6 +83,7 @@
             List.of(),
             0.2,
             40,
+            maxHedgeShare,
             GRACE_PERIOD);
     gateway =
         new Gateway(
