Do not send ranks to engines

Cause: engines preempt streams of lower ranks for those of higher ones, which are then prefilled again.

Change: the rank of a generation stays with the admitting node.

--- a/gateway/src/main/java/org/mustardlatch/gateway/ApplicationRequestHandler.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/ApplicationRequestHandler.java
@@ -291,13 +291,7 @@
       long remainingMillis = Math.max(1, (exchange.deadlineNanos() - now) / 1_000_000);
       var plan =
           new UpstreamCallPlan(
-              target,
-              remainingMillis,
-              UpstreamCallPlan.WHOLE,
-              null,
-              null,
-              exchange.identity(),
-              exchange.rank());
+              target, remainingMillis, UpstreamCallPlan.WHOLE, null, null, exchange.identity());
       double predicted = balancer.predictedResponseNanos(c, now);
       EventLog.log(
           LogEvent.REQUEST_SENT,
--- a/gateway/src/main/java/org/mustardlatch/gateway/GenerationStream.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/GenerationStream.java
@@ -44,8 +44,7 @@
         work,
         events.lastEventId(),
         reservationId,
-        exchange.identity(),
-        exchange.rank());
+        exchange.identity());
   }
 
   /** Logs the timing of the events of a complete stream. */
--- a/gateway/src/main/java/org/mustardlatch/gateway/UpstreamCallPlan.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/UpstreamCallPlan.java
@@ -1,6 +1,5 @@
 package org.mustardlatch.gateway;
 
-import java.util.OptionalInt;
 import org.jspecify.annotations.Nullable;
 import org.mustardlatch.gateway.config.Instance;
 
@@ -15,7 +14,6 @@
  * @param reservationId the engine's id of the reservation for this request; null for none
  * @param identity whom the upstream is told to work for; null if the configuration has no
  *     workspaces
- * @param rank urgency of a generation, from 0 for the most urgent to 9; empty if all are equal
  */
 public record UpstreamCallPlan(
     Instance target,
@@ -23,8 +21,7 @@
     Work work,
     @Nullable String resumeAfterEventId,
     @Nullable String reservationId,
-    @Nullable CallerIdentity identity,
-    OptionalInt rank) {
+    @Nullable CallerIdentity identity) {
   /** The part of a request that one upstream processes. */
   public sealed interface Work {
     /** The complete request: an application request, or a prefill and its decode. */
