Train the class-data archive of the deployment until the node serves

The training run of deploy/build.sh had no store. The node never read a configuration, became ready or answered a request there, so 573 of 3,776 classes of a start came from the jars instead of the archive.

deploy/TrainingRun.java, run by the JDK from its source, stands in for the store and an application server, lets a second node join and sends requests. The build now also fails if no archive was written.

The options of the node are unchanged.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -29,26 +29,14 @@
   printf -- '-cp\n%s\n' "$first$rest"
 } >"$app/java.args"
 
-# A run that loads the classes of a start; the archive maps them at every later start.
+# A run that loads the classes of a start, of joining a peer and of a request; the archive maps them
+# at every later start. The JDK compiles and runs the program from its source.
 mkdir -p target/training
-cat >target/training/node.conf <<CONF
-node_name=training
-zone=a
-zones.a=a
-ip=127.0.0.1
-listen.frontend_address=127.0.0.1:0
-listen.ready=127.0.0.1:0
-listen.control_plane=127.0.0.1:0
-platform.address=127.0.0.1:1
-CONF
-target/rt/bin/java "@$app/java.args" -XX:ArchiveClassesAtExit="$app/classes.jsa" \
-  org.mustardlatch.daemon.Main --config target/training/node.conf >target/training/log 2>&1 &
-pid=$!
-for _ in $(seq 100); do
-  if grep -q 'ML-8001' target/training/log; then break; fi
-  sleep 0.1
-done
-sleep 0.5
-kill -TERM "$pid"
-wait "$pid"
+"$JAVA_HOME/bin/java" deploy/TrainingRun.java target/training \
+  "-XX:ArchiveClassesAtExit=$app/classes.jsa" target/rt/bin/java "@$app/java.args"
+# The node writes the archive while it exits, and runs without one if that fails.
+if [ ! -s "$app/classes.jsa" ]; then
+  echo "error: the training run wrote no archive, see target/training/training.log" >&2
+  exit 1
+fi
 echo "-XX:SharedArchiveFile=$app/classes.jsa" >>"$app/java.args"
