Require the API key of a workspace

Keys were decoded but not checked, so any caller was served and upstreams got no name of a workspace. The gateway now decides on the key right after the route is found: 401 without a valid key, 503 for an unknown key while the store can't be read, no key on public routes. Every call for the request has the workspace's name.

--- a/gateway/src/main/java/org/mustardlatch/gateway/ErrorResponse.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/ErrorResponse.java
@@ -11,6 +11,8 @@
 
 /** Sends the error responses that this node generates itself: a JSON body with code and message. */
 final class ErrorResponse {
+  private static final int UNAUTHENTICATED = 401;
+
   private ErrorResponse() {}
 
   /**
@@ -28,6 +30,9 @@
       headers.set(
           "Retry-After", String.format(Locale.ROOT, "%.3f", retryAfter.toMillis() / 1000.0));
     }
+    if (status == UNAUTHENTICATED) {
+      headers.set("WWW-Authenticate", "Bearer");
+    }
     String json =
         "{\"error\":{\"code\":\""
             + code.wireName()
--- a/gateway/src/main/java/org/mustardlatch/gateway/FleetState.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/FleetState.java
@@ -42,6 +42,7 @@
   private final List<Runnable> listeners = new ArrayList<>();
   private BiConsumer<Instance, HttpResponse> responseObserver = (target, head) -> {};
   private @Nullable GatewayConfiguration configuration;
+  private boolean configurationStoreReachable;
 
   private record PooledInstance(Instance instance, UpstreamPool pool) {}
 
@@ -87,6 +88,11 @@
     return configuration;
   }
 
+  /** Returns whether the last read of the configuration from the store succeeded. */
+  boolean configurationStoreReachable() {
+    return configurationStoreReachable;
+  }
+
   /**
    * Returns the upstreams of a service that accept new work, which excludes those leaving
    * (draining) and those that want none for some time.
@@ -209,11 +215,13 @@
 
     @Override
     public void storeReachable(boolean afterOutage) {
+      configurationStoreReachable = true;
       EventLog.log(LogEvent.STORE_REACHABLE, "configuration");
     }
 
     @Override
     public void storeUnreachable(String reason) {
+      configurationStoreReachable = false;
       EventLog.log(LogEvent.STORE_UNREACHABLE, "configuration", reason);
     }
   }
--- a/gateway/src/main/java/org/mustardlatch/gateway/Gateway.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/Gateway.java
@@ -262,6 +262,21 @@
       reject(caller, ErrorCode.UNKNOWN_ROUTE, "no route for this host and path");
       return;
     }
+    switch (CallerAuthentication.check(
+        c,
+        route,
+        protocol.readApiKey(caller.head().headers()),
+        fleet.configurationStoreReachable())) {
+      case CallerAuthentication.Result.Rejected r -> reject(caller, r.code(), r.reason());
+      case CallerAuthentication.Result.Accepted a -> start(caller, c, route, a);
+    }
+  }
+
+  private void start(
+      CallerExchange caller,
+      GatewayConfiguration c,
+      GatewayRoute route,
+      CallerAuthentication.Result.Accepted authenticated) {
     GatewayService service = c.findService(route.selectService(random.nextDouble()));
     RequestMetadata metadata = readMetadata(caller);
     if (metadata == null || service == null) {
@@ -275,8 +290,8 @@
             metadata,
             route,
             service,
-            null,
-            c.streamRanks().rank(route, null),
+            authenticated.identity(),
+            c.streamRanks().rank(route, authenticated.workspace()),
             protocol,
             firstAttemptTimeout(route, metadata),
             metrics);
--- a/gateway/src/test/java/org/mustardlatch/gateway/TestGateway.java
+++ b/gateway/src/test/java/org/mustardlatch/gateway/TestGateway.java
@@ -26,6 +26,7 @@
 import org.mustardlatch.gateway.config.GatewayConfiguration;
 import org.mustardlatch.gateway.config.GatewayRoute;
 import org.mustardlatch.gateway.config.GatewayService;
+import org.mustardlatch.gateway.config.GatewayWorkspace;
 import org.mustardlatch.gateway.config.Instance;
 import org.mustardlatch.gateway.config.RequestKind;
 import org.mustardlatch.gateway.config.ServiceWeight;
@@ -56,6 +57,11 @@
 
   /** Creates a gateway whose engines keep capacity reserved for the given time, zero for none. */
   TestGateway(Duration maxReservationTtl) throws Exception {
+    this(maxReservationTtl, List.of());
+  }
+
+  /** Creates a gateway with workspaces, whose additional route /public/ needs no key. */
+  TestGateway(Duration maxReservationTtl, List<GatewayWorkspace> workspaces) throws Exception {
     loop = group.next();
     var timers = new NettyTimerService(loop);
     fleet = new FleetState(loop, timers);
@@ -85,29 +91,33 @@
             1,
             new SplittableRandom(1));
     gateway.start();
+    runOnEventLoop(() -> fleet.configurationListener().storeReachable(false));
     runOnEventLoop(
         () ->
             fleet
                 .configurationListener()
                 .objectsListed(
-                    List.of(new StoredEntry<>("main", configuration(maxReservationTtl))),
+                    List.of(
+                        new StoredEntry<>("main", configuration(maxReservationTtl, workspaces))),
                     List.of()));
   }
 
-  private static GatewayConfiguration configuration(Duration maxReservationTtl) {
+  private static GatewayConfiguration configuration(
+      Duration maxReservationTtl, List<GatewayWorkspace> workspaces) {
     return new GatewayConfiguration(
         1,
         List.of(
             route("/once/", RequestKind.NON_IDEMPOTENT, "app", false),
             route("/again/", RequestKind.IDEMPOTENT, "app", false),
             route("/stream/", RequestKind.STREAMING, "engine", false),
-            route("/resumable/", RequestKind.STREAMING, "engine", true)),
+            route("/resumable/", RequestKind.STREAMING, "engine", true),
+            route("/public/", RequestKind.IDEMPOTENT, "app", false)),
         List.of(
             new GatewayService("app", null),
             new GatewayService(
                 "engine",
                 new EngineSpec(8, 32_000, 1000, Duration.ofMillis(500), maxReservationTtl))),
-        List.of(),
+        workspaces,
         CallerLimits.DEFAULT);
   }
 
@@ -125,7 +135,7 @@
         2,
         resumable,
         GatewayRoute.DEFAULT_RANK,
-        false);
+        prefix.equals("/public/"));
   }
 
   /** Registers an application upstream. */
