Enforce the allowances of workspaces over the whole fleet

The rate and burst of a workspace were decoded and not enforced. A request is paid for before it is handled, gets 429 with Retry-After beyond the allowance, and gets its units back if it reaches no upstream. What the bound permits beyond the allowance is kept for faults.

--- a/core/src/main/java/org/mustardlatch/core/routing/NodeRouter.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/NodeRouter.java
@@ -41,6 +41,9 @@
   /** Prefix of the names of budgets of upstreams; the router handles messages about them. */
   public static final String UPSTREAM_BUDGET_PREFIX = ApplicationStarts.BUDGET_PREFIX;
 
+  /** Prefix of the names of budgets of workspaces; the router handles messages about them. */
+  public static final String WORKSPACE_BUDGET_PREFIX = WorkspaceSpends.BUDGET_PREFIX;
+
   private static final String TICK_TIMER = "tick";
   private static final String CELL_TIMER = "cell";
   // More than one, because an introducer may itself have just joined or be about to fail.
@@ -62,6 +65,7 @@
   private final EvidenceSync evidenceSync;
   private final UpstreamLimits upstreamLimits;
   private final ApplicationStarts applicationStarts;
+  private final WorkspaceSpends workspaceSpends;
   private Topology topology = new Topology(null, List.of());
   private List<Member> members = List.of();
   private long incarnation;
@@ -83,6 +87,7 @@
     this.commands = new CommandCollector(self);
     this.upstreamLimits = new UpstreamLimits(commands);
     this.applicationStarts = new ApplicationStarts(commands, upstreamLimits, topology);
+    this.workspaceSpends = new WorkspaceSpends(commands, upstreamLimits, random, region, topology);
     var environment =
         new CellAdmission.Environment(commands, random, evidence, settings, upstreamLimits);
     this.evidenceCoordinator =
@@ -221,6 +226,11 @@
           upstreamLimits.stated(e.upstream(), e.requestsPerSecond());
       case RoutingEvent.ApplicationStartRequested e ->
           applicationStarts.startRequested(e.request(), e.candidates());
+      case RoutingEvent.AllowancesApplied e ->
+          workspaceSpends.allowancesApplied(e.allowances(), e.bounds());
+      case RoutingEvent.SpendRequested e ->
+          workspaceSpends.spendRequested(e.request(), e.workspace(), e.units());
+      case RoutingEvent.SpendReturned e -> workspaceSpends.spendReturned(e.workspace(), e.units());
       case RoutingEvent.TimerFired e -> timerFired(e.key());
       case RoutingEvent.ApplicationRunRequested e -> decideRun(e);
       case RoutingEvent.ApplicationRunEnded e ->
@@ -276,6 +286,10 @@
       case PromptCrashReport m -> promptPartQuarantine.handle(m);
       case PromptPartsCleared m -> promptPartQuarantine.handle(m);
       case RateLimitNotice m -> upstreamLimits.handle(m);
+      case BudgetLeaseRequest m when m.budget().startsWith(WORKSPACE_BUDGET_PREFIX) ->
+          workspaceSpends.leaseRequested(from, m);
+      case BudgetLease m when m.budget().startsWith(WORKSPACE_BUDGET_PREFIX) ->
+          workspaceSpends.leaseReceived(from, m);
       case BudgetLeaseRequest m -> applicationStarts.leaseRequested(from, m);
       case BudgetLease m -> applicationStarts.leaseReceived(m);
       case EvidenceRequest m -> {
@@ -354,12 +368,14 @@
     evidenceSync.topologyChanged(topology);
     upstreamLimits.topologyChanged(topology);
     applicationStarts.topologyChanged(topology);
+    workspaceSpends.topologyChanged(topology);
   }
 
   private void timerFired(TimerKey key) {
     switch (key.kind()) {
       case TICK_TIMER -> tick();
       case CELL_TIMER -> admissionController.tick(key.subject());
+      case WorkspaceSpends.TIMER_KIND -> workspaceSpends.timerFired(key.subject());
       case ApplicationStarts.TIMER_KIND -> applicationStarts.timerFired(key.subject());
       case RunPermissionClient.TIMER_KIND -> permissionClient.timerFired(key.subject());
       case RequestCoordinator.TIMER_KIND -> requestCoordinator.timerFired(key.subject());
@@ -378,6 +394,7 @@
     evidenceSync.tick();
     upstreamLimits.tick(evidenceCoordinator);
     applicationStarts.tick();
+    workspaceSpends.tick();
   }
 
   /** Discards the state that other nodes may have replaced during a long pause, and starts anew. */
--- a/core/src/main/java/org/mustardlatch/core/routing/RoutingCommand.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/RoutingCommand.java
@@ -72,6 +72,15 @@
   record DecideApplicationStart(RequestId request, @Nullable UpstreamId upstream)
       implements RoutingCommand {}
 
+  /**
+   * Handle a request that its workspace has paid for, or refuse it.
+   *
+   * @param granted whether the workspace's allowance covers the request
+   * @param retryAfter duration after which a refused caller may come back; zero if granted
+   */
+  record DecideSpend(RequestId request, boolean granted, Duration retryAfter)
+      implements RoutingCommand {}
+
   /** End the caller's stream successfully. */
   record Complete(RequestId request) implements RoutingCommand {}
 
--- a/core/src/main/java/org/mustardlatch/core/routing/RoutingEvent.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/RoutingEvent.java
@@ -2,7 +2,10 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.OptionalDouble;
+import org.mustardlatch.core.budget.Allowance;
+import org.mustardlatch.core.budget.QuotaBounds;
 import org.mustardlatch.core.manifest.Manifest;
 import org.mustardlatch.core.model.AttemptId;
 import org.mustardlatch.core.model.Fingerprint;
@@ -160,6 +163,32 @@
     }
   }
 
+  /**
+   * The configuration with these allowances came into force; they replace the earlier ones.
+   *
+   * @param allowances allowances by the name of their workspace
+   * @param bounds how far requests may exceed them
+   */
+  record AllowancesApplied(Map<String, Allowance> allowances, QuotaBounds bounds)
+      implements RoutingEvent {
+    /** Copies the map. */
+    public AllowancesApplied {
+      allowances = Map.copyOf(allowances);
+    }
+  }
+
+  /**
+   * A request must be paid from the allowance of its workspace before anything else is done for it.
+   * Answered by {@link RoutingCommand.DecideSpend} within about 300 ms.
+   *
+   * @param units cost of the request, at least 0
+   */
+  record SpendRequested(RequestId request, String workspace, double units)
+      implements RoutingEvent {}
+
+  /** A request that was paid for ended without having reached an upstream. */
+  record SpendReturned(String workspace, double units) implements RoutingEvent {}
+
   /** A timer that was set by {@link RoutingCommand.SetTimer} fired. */
   record TimerFired(TimerKey key) implements RoutingEvent {}
 
--- a/core/src/main/java/org/mustardlatch/core/routing/UpstreamLimits.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/UpstreamLimits.java
@@ -96,9 +96,18 @@
     if (s == null || s.requestsPerSecond.isEmpty()) {
       return OptionalDouble.empty();
     }
-    double share = (double) liveNodes / Math.max(liveNodes, Math.max(knownNodes, expectedNodes));
     return OptionalDouble.of(
-        share * Math.max(MIN_REQUESTS_PER_SECOND, s.requestsPerSecond.getAsDouble()));
+        visibleShare() * Math.max(MIN_REQUESTS_PER_SECOND, s.requestsPerSecond.getAsDouble()));
+  }
+
+  /** Returns the part of the fleet's nodes that this node sees, 0 to 1. */
+  double visibleShare() {
+    return (double) liveNodes / fleetNodes();
+  }
+
+  /** Returns the number of nodes of the fleet, whether this node sees them or not. */
+  int fleetNodes() {
+    return Math.max(liveNodes, Math.max(knownNodes, expectedNodes));
   }
 
   /** Returns the number of live nodes. */
--- a/core/src/test/java/org/mustardlatch/core/routing/FleetSimulation.java
+++ b/core/src/test/java/org/mustardlatch/core/routing/FleetSimulation.java
@@ -278,6 +278,7 @@
       case RoutingCommand.Complete c -> recordFinalResponse(c.request(), c);
       case RoutingCommand.DecideApplicationRun c -> throw new IllegalStateException("" + c);
       case RoutingCommand.DecideApplicationStart c -> throw new IllegalStateException("" + c);
+      case RoutingCommand.DecideSpend c -> throw new IllegalStateException("" + c);
       case RoutingCommand.SetTimer c -> {
         long version = ++node.lastTimerVersion;
         node.timerVersions.put(c.key(), version);
--- a/daemon/src/main/java/org/mustardlatch/daemon/routing/RoutingService.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/routing/RoutingService.java
@@ -94,6 +94,8 @@
           throw new IllegalStateException("no application request asked for a decision: " + c);
       case RoutingCommand.DecideApplicationStart c ->
           throw new IllegalStateException("no application request asked for a decision: " + c);
+      case RoutingCommand.DecideSpend c ->
+          throw new IllegalStateException("no request is paid for through the router: " + c);
       case RoutingCommand.SetTimer c ->
           throw new IllegalStateException("timer commands are handled by the policy runner: " + c);
       case RoutingCommand.CancelTimer c ->
--- a/gateway/src/main/java/org/mustardlatch/gateway/EngineCalls.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/EngineCalls.java
@@ -302,6 +302,11 @@
       this.source = source;
     }
 
+    @Override
+    public void sent() {
+      stream.exchange.recordPartSent();
+    }
+
     @Override
     protected void responseReceived(BufferedResponse response) {
       calls.remove(attempt);
--- a/gateway/src/main/java/org/mustardlatch/gateway/Gateway.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/Gateway.java
@@ -56,6 +56,7 @@
   private final RandomGenerator random;
   private final ApplicationRequestHandler applicationHandler;
   private final GenerationRequestHandler generationHandler;
+  private final AllowanceGate allowanceGate;
   private final RequestNames requestNames;
   private final CallerServer callerServer;
   private final PageServer readinessServer;
@@ -101,6 +102,7 @@
             generationHandler.crashDetector(),
             generationHandler,
             () -> peers.members().size());
+    this.allowanceGate = new AllowanceGate(generationHandler);
     this.callerServer =
         new CallerServer(loop, timers, settings.callerAddress(), this, this::limits);
     this.readinessServer = new PageServer(loop, timers, settings.readinessAddress());
@@ -179,7 +181,9 @@
   }
 
   private int openRequests() {
-    return applicationHandler.openRequests() + generationHandler.openRequests();
+    return allowanceGate.openRequests()
+        + applicationHandler.openRequests()
+        + generationHandler.openRequests();
   }
 
   private void finish() {
@@ -303,7 +307,11 @@
       exchange.fail(ErrorCode.DRAINING, "this node is stopping", STOPPING_RETRY_AFTER);
       return;
     }
-    if (service.engine() != null && route.kind() == RequestKind.STREAMING) {
+    allowanceGate.pay(exchange, authenticated.workspace(), () -> dispatch(exchange));
+  }
+
+  private void dispatch(RoutedExchange exchange) {
+    if (exchange.service().engine() != null && exchange.route().kind() == RequestKind.STREAMING) {
       generationHandler.start(exchange);
     } else {
       applicationHandler.start(exchange);
@@ -339,7 +347,8 @@
 
   @Override
   public void callerDisconnected(CallerExchange caller) {
-    if (!applicationHandler.callerDisconnected(caller)) {
+    if (!allowanceGate.callerDisconnected(caller)
+        && !applicationHandler.callerDisconnected(caller)) {
       generationHandler.callerDisconnected(caller);
     }
   }
--- a/gateway/src/main/java/org/mustardlatch/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/GatewaySettings.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import org.jspecify.annotations.Nullable;
+import org.mustardlatch.core.budget.QuotaBounds;
 import org.mustardlatch.core.model.HostId;
 import org.mustardlatch.core.model.RegionId;
 import org.mustardlatch.core.model.ZoneId;
@@ -23,6 +24,7 @@
  * @param peerSeeds addresses of peers to contact for joining the fleet
  * @param retryBudgetRatio retries that the fleet may send to a service per request to it
  * @param retryBudgetExtra additional retries of the whole fleet in one window
+ * @param quotaBounds how far requests may exceed the allowances of workspaces
  * @param gracePeriod maximum time between a stop signal and the end of the process
  */
 public record GatewaySettings(
@@ -37,6 +39,7 @@
     List<String> peerSeeds,
     double retryBudgetRatio,
     double retryBudgetExtra,
+    QuotaBounds quotaBounds,
     Duration gracePeriod) {
   /**
    * Creates settings with copies of the collections.
--- a/gateway/src/main/java/org/mustardlatch/gateway/GenerationRequestHandler.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/GenerationRequestHandler.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
+import org.mustardlatch.core.budget.Allowance;
 import org.mustardlatch.core.error.ErrorCode;
 import org.mustardlatch.core.model.AttemptId;
 import org.mustardlatch.core.model.Fingerprint;
@@ -22,6 +23,8 @@
 import org.mustardlatch.core.routing.RoutingCommand;
 import org.mustardlatch.core.routing.RoutingEvent;
 import org.mustardlatch.core.time.TimerService;
+import org.mustardlatch.gateway.config.GatewayConfiguration;
+import org.mustardlatch.gateway.config.GatewayWorkspace;
 import org.mustardlatch.gateway.http.BufferedResponse;
 import org.mustardlatch.gateway.http.CallerExchange;
 import org.mustardlatch.gateway.log.EventLog;
@@ -73,8 +76,10 @@
   private final EngineCalls engineCalls;
   private double averageLengthHint;
   private long manifestRevision;
+  private long allowancesVersion = Long.MIN_VALUE;
   private Consumer<RoutingCommand.DecideApplicationRun> applicationDecisions = c -> {};
   private Consumer<RoutingCommand.DecideApplicationStart> applicationStarts = c -> {};
+  private Consumer<RoutingCommand.DecideSpend> spendDecisions = c -> {};
 
   GenerationRequestHandler(
       FleetState fleet,
@@ -151,8 +156,24 @@
     return streams.size();
   }
 
-  /** Passes a manifest of the current configuration and engines to the router. */
+  /** Sets the receiver of decisions on spends, delivered after the event in progress. */
+  void onSpendDecision(Consumer<RoutingCommand.DecideSpend> receiver) {
+    spendDecisions = receiver;
+  }
+
+  /** Passes the allowances and a manifest of the configuration and engines to the router. */
   void onFleetChange() {
+    GatewayConfiguration c = fleet.configuration();
+    if (c != null && c.version() != allowancesVersion) {
+      allowancesVersion = c.version();
+      Map<String, Allowance> allowances = new HashMap<>();
+      for (GatewayWorkspace w : c.workspaces()) {
+        if (w.allowance() != null) {
+          allowances.put(w.name(), w.allowance());
+        }
+      }
+      runner.handle(new RoutingEvent.AllowancesApplied(allowances, settings.quotaBounds()));
+    }
     var manifest = FleetManifest.of(fleet, settings);
     if (manifest != null) {
       manifestRevision++;
@@ -266,7 +287,7 @@
   }
 
   /** Passes an event to the router after the event in progress has been processed. */
-  private void postEvent(RoutingEvent event) {
+  void postEvent(RoutingEvent event) {
     eventLoop.execute(() -> runner.handle(event));
   }
 
@@ -291,6 +312,7 @@
           eventLoop.execute(() -> applicationDecisions.accept(c));
       case RoutingCommand.DecideApplicationStart c ->
           eventLoop.execute(() -> applicationStarts.accept(c));
+      case RoutingCommand.DecideSpend c -> eventLoop.execute(() -> spendDecisions.accept(c));
       case RoutingCommand.SetTimer c ->
           throw new IllegalStateException("timer command not handled by PolicyRunner: " + c);
       case RoutingCommand.CancelTimer c ->
--- a/gateway/src/main/java/org/mustardlatch/gateway/RoutedExchange.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/RoutedExchange.java
@@ -52,6 +52,7 @@
   private final long deadlineNanos;
   private final long earlierWaitNanos;
   private int possibleExecutions;
+  private @Nullable Runnable refund;
   private @Nullable Fingerprint fingerprint;
 
   RoutedExchange(
@@ -168,8 +169,19 @@
     return fingerprint().value().substring(0, CONTENT_ID_DIGITS);
   }
 
+  /** Sets the task that runs if the request ends without having reached an upstream. */
+  void onNotSent(Runnable task) {
+    refund = task;
+  }
+
+  /** Records that a part of the request that an upstream cannot complete alone was sent to it. */
+  void recordPartSent() {
+    refund = null;
+  }
+
   /** Records that the request was sent to an upstream, which may execute it from now on. */
   void recordSent() {
+    recordPartSent();
     possibleExecutions++;
   }
 
@@ -228,7 +240,8 @@
     int status = statusFor(code);
     recordOutcome("failed", reason, status);
     Duration delay = code == ErrorCode.REQUEST_QUARANTINED ? QUARANTINE_RETRY_AFTER : retryAfter;
-    Duration retryDelay = status == SERVICE_UNAVAILABLE ? delay : Duration.ZERO;
+    boolean mayRetry = status == SERVICE_UNAVAILABLE || code == ErrorCode.RATE_LIMITED;
+    Duration retryDelay = mayRetry ? delay : Duration.ZERO;
     ErrorResponse.send(caller, status, code, reason, retryDelay);
   }
 
@@ -262,6 +275,11 @@
 
   /** Logs and counts the outcome of the request. */
   void recordOutcome(String outcome, @Nullable String detail, int status) {
+    Runnable task = refund;
+    refund = null;
+    if (task != null) {
+      task.run();
+    }
     metrics.countRequest(route.kind(), outcome, status);
     EventLog.log(
         LogEvent.REQUEST_ENDED,
--- a/gateway/src/test/java/org/mustardlatch/gateway/TestGateway.java
+++ b/gateway/src/test/java/org/mustardlatch/gateway/TestGateway.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
+import org.mustardlatch.core.budget.QuotaBounds;
 import org.mustardlatch.core.model.HostId;
 import org.mustardlatch.core.model.RegionId;
 import org.mustardlatch.core.model.ZoneId;
@@ -79,6 +80,7 @@
             List.of(),
             0.2,
             40,
+            QuotaBounds.DEFAULT,
             GRACE_PERIOD);
     gateway =
         new Gateway(
--- a/replay/src/main/java/org/mustardlatch/replay/BaselinePolicy.java
+++ b/replay/src/main/java/org/mustardlatch/replay/BaselinePolicy.java
@@ -78,6 +78,9 @@
       case RoutingEvent.ApplicationRunRequested e -> {}
       case RoutingEvent.ApplicationStartRequested e -> {}
       case RoutingEvent.UpstreamLimitStated e -> {}
+      case RoutingEvent.AllowancesApplied e -> {}
+      case RoutingEvent.SpendRequested e -> {}
+      case RoutingEvent.SpendReturned e -> {}
       case RoutingEvent.ApplicationRunEnded e -> {}
       case RoutingEvent.ApplicationRunCompleted e -> {}
       case RoutingEvent.EngineReserved e -> {}
--- a/replay/src/main/java/org/mustardlatch/replay/Dispatcher.java
+++ b/replay/src/main/java/org/mustardlatch/replay/Dispatcher.java
@@ -73,6 +73,8 @@
           throw new IllegalArgumentException("application request " + c.request());
       case RoutingCommand.DecideApplicationStart c ->
           throw new IllegalArgumentException("application request " + c.request());
+      case RoutingCommand.DecideSpend c ->
+          throw new IllegalArgumentException("paid request " + c.request());
       case RoutingCommand.SetTimer c -> throw new IllegalArgumentException("timer " + c.key());
       case RoutingCommand.CancelTimer c -> throw new IllegalArgumentException("timer " + c.key());
     }
--- a/wire/src/main/java/org/mustardlatch/wire/NodeBudgets.java
+++ b/wire/src/main/java/org/mustardlatch/wire/NodeBudgets.java
@@ -29,6 +29,7 @@
   private final BiConsumer<HostId, BudgetMessage> sender;
   private final Map<Long, Consumer<Boolean>> pendingResults = new HashMap<>();
   private long lastTicket;
+  private boolean isConfigured;
 
   NodeBudgets(HostId self, RegionId region, BiConsumer<HostId, BudgetMessage> sender) {
     this.region = region;
@@ -36,7 +37,13 @@
     this.sender = sender;
   }
 
+  /** Returns whether this node uses these budgets, which only the own interface does. */
+  boolean isConfigured() {
+    return isConfigured;
+  }
+
   void configure(Map<String, BudgetTerms> terms) {
+    isConfigured = true;
     owner.configure(terms);
   }
 
--- a/wire/src/main/java/org/mustardlatch/wire/PeerNode.java
+++ b/wire/src/main/java/org/mustardlatch/wire/PeerNode.java
@@ -275,6 +275,11 @@
       case RolloutMessage m -> handleRolloutEvent(new RolloutEvent.MessageReceived(from, m));
       case BudgetMessage m when m.budget().startsWith(NodeRouter.UPSTREAM_BUDGET_PREFIX) ->
           listener.messageReceived(from, senderIncarnation, m);
+      // A node on a platform has the allowances of workspaces in its router.
+      case BudgetMessage m
+          when m.budget().startsWith(NodeRouter.WORKSPACE_BUDGET_PREFIX)
+              && !budgets.isConfigured() ->
+          listener.messageReceived(from, senderIncarnation, m);
       case BudgetMessage m -> budgets.received(from, m, timers.nanos());
       case EvidenceMessage m -> handleEvidence(from, senderIncarnation, m);
       default -> listener.messageReceived(from, senderIncarnation, message);
