--- a/gateway/src/main/java/org/mustardlatch/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/GatewaySettings.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.OptionalDouble;
 import org.jspecify.annotations.Nullable;
+import org.mustardlatch.core.budget.QuotaBounds;
 import org.mustardlatch.core.model.HostId;
 import org.mustardlatch.core.model.RegionId;
 import org.mustardlatch.core.model.ZoneId;
@@ -26,6 +27,7 @@
  * @param retryBudgetExtra additional retries of the whole fleet in one window
  * @param maxHedgeShare largest number of second copies per request to a service that the operator
  *     accepts to cut slow responses, 0 to 1; empty for the default rule of the balancer
+ * @param quotaBounds how far requests may exceed the allowances of workspaces
  * @param gracePeriod maximum time between a stop signal and the end of the process
  */
 public record GatewaySettings(
@@ -41,6 +43,7 @@
     double retryBudgetRatio,
     double retryBudgetExtra,
     OptionalDouble maxHedgeShare,
+    QuotaBounds quotaBounds,
     Duration gracePeriod) {
   /**
    * Creates settings with copies of the collections.
