Pass long bodies and responses through within a budget of buffered bytes

Cause: a request body was read whole before its request was handled, and an application response was buffered whole before its caller got it. 150 callers with 1 MB each at servers that read slowly exhausted the heap, and the process stayed up without its event loop.

Change: BufferBudget limits what a node buffers to a third of the heap, in parts for small messages, for those held whole and for those that pass through. Bodies over 64 KB of application requests and 2xx responses over 64 KB of a stated length pass through with backpressure. Events for a slow caller are buffered in a window. What is queued to one upstream is limited. The process ends with code 3 when its heap is exhausted or its event loop terminates.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -23,6 +23,7 @@
 rest=$(ls "$app"/*.jar | tr '\n' ':')
 {
   printf '%s\n' -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xms24m -Xmx96m -Xss256k \
+    -XX:+ExitOnOutOfMemoryError \
     -XX:MaxMetaspaceSize=64m -XX:ReservedCodeCacheSize=24m -XX:-UsePerfData \
     -Dio.netty.noUnsafe=true -Dio.netty.allocator.type=unpooled \
     -Dio.netty.leakDetection.level=disabled -Djava.net.preferIPv4Stack=true
--- a/gateway/src/main/java/org/mustardlatch/gateway/ApplicationRequestHandler.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/ApplicationRequestHandler.java
@@ -1,5 +1,9 @@
 package org.mustardlatch.gateway;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponse;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -23,10 +27,12 @@
 import org.mustardlatch.core.time.TimerSubscription;
 import org.mustardlatch.gateway.config.Instance;
 import org.mustardlatch.gateway.http.BufferedResponse;
-import org.mustardlatch.gateway.http.BufferedResponseListener;
 import org.mustardlatch.gateway.http.Call;
 import org.mustardlatch.gateway.http.CallFailure;
 import org.mustardlatch.gateway.http.CallerExchange;
+import org.mustardlatch.gateway.http.EventStreams;
+import org.mustardlatch.gateway.http.PassingResponseListener;
+import org.mustardlatch.gateway.http.RequestBody;
 import org.mustardlatch.gateway.log.EventLog;
 import org.mustardlatch.gateway.log.LogEvent;
 
@@ -43,6 +49,11 @@
   private static final double SLOW_RESPONSE_FACTOR = 3;
   private static final Duration MIN_SLOW_RESPONSE_DELAY = Duration.ofMillis(60);
   private static final int MIN_SERVER_ERROR_STATUS = 500;
+  private static final int HTTP_OK = 200;
+  private static final int MIN_UNSUCCESSFUL_STATUS = 300;
+  // A response that passes through is not subject to the deadline, since a caller that reads it
+  // slowly is still served. It is broken off when no byte of it has moved for this time.
+  private static final Duration MAX_PASSING_PAUSE = Duration.ofSeconds(15);
 
   private final FleetState fleet;
   private final TimerService timers;
@@ -105,6 +116,7 @@
     ActiveRequest request = activeRequests.get(caller);
     if (request != null) {
       request.close();
+      request.releaseMemory();
       request.exchange.recordOutcome("caller_left", null, 0);
     }
     return request != null;
@@ -149,6 +161,7 @@
     private final RoutedExchange exchange;
     private final Set<UpstreamId> attemptedUpstreams = new HashSet<>();
     private final List<Attempt> activeAttempts = new ArrayList<>();
+    private final List<Attempt> allAttempts = new ArrayList<>();
     private int attemptCount;
     private int refusalCount;
     // Reason of the next or latest attempt, for the log.
@@ -216,7 +229,16 @@
     }
 
     private boolean mayAttemptAgain() {
-      return exchange.route().repeatable() && attemptCount < exchange.route().maxAttempts();
+      return exchange.route().repeatable()
+          && attemptCount < exchange.route().maxAttempts()
+          && bodyCanBeSentAgain();
+    }
+
+    /** Returns whether the whole body, or all of it that has arrived, is still held. */
+    private boolean bodyCanBeSentAgain() {
+      RequestBody body = exchange.caller().body();
+      // A body that still arrives passes through to one upstream at a time.
+      return body.isHeld() && (body.isComplete() || activeAttempts.isEmpty());
     }
 
     /**
@@ -268,6 +290,10 @@
         failIfNoActiveAttempt(ErrorCode.UPSTREAM_UNAVAILABLE, "no upstream left");
         return;
       }
+      if (!bodyCanBeSentAgain()) {
+        failIfNoActiveAttempt(ErrorCode.UPSTREAM_FAILED, "the body is no longer held");
+        return;
+      }
       attemptedUpstreams.add(c.id());
       attemptCount++;
       long remainingMillis = Math.max(1, (exchange.deadlineNanos() - now) / 1_000_000);
@@ -291,6 +317,7 @@
           exchange.contentId());
       Attempt attempt = new Attempt(target, now);
       activeAttempts.add(attempt);
+      allAttempts.add(attempt);
       balancer.requestSent(c.id());
       attempt.call = fleet.poolFor(target).send(exchange.toUpstreamRequest(plan), attempt);
       scheduleSlowResponseCheck(predicted);
@@ -332,13 +359,19 @@
     private void end(ErrorCode code, String reason, Duration retryAfter) {
       BufferedResponse error = serverError;
       close();
-      if (error != null) {
-        exchange.sendResponse(error, "last_server_error");
+      if (error != null && !exchange.caller().responseStarted()) {
+        exchange.sendResponse(error, "last_server_error", this::releaseMemory);
       } else {
         exchange.fail(code, reason, retryAfter);
+        releaseMemory();
       }
     }
 
+    /** Returns the memory of all responses. */
+    void releaseMemory() {
+      allAttempts.forEach(Attempt::releaseMemory);
+    }
+
     /** Removes the request, cancels its attempts and timers. */
     void close() {
       closed = true;
@@ -351,6 +384,11 @@
             new RoutingEvent.ApplicationRunEnded(
                 id, exchange.fingerprint(), exchange.service().name(), abandoned));
       }
+      cancelActiveAttempts();
+      cancelTimers();
+    }
+
+    private void cancelActiveAttempts() {
       for (Attempt attempt : activeAttempts) {
         balancer.requestCancelled(attempt.upstream);
         if (attempt.call != null) {
@@ -361,6 +399,9 @@
         }
       }
       activeAttempts.clear();
+    }
+
+    private void cancelTimers() {
       if (deadlineTimer != null) {
         deadlineTimer.cancel();
       }
@@ -383,14 +424,7 @@
         onRefusal();
         return;
       }
-      if (suspect) {
-        suspect = false;
-        runDecisions.handle(
-            new RoutingEvent.ApplicationRunCompleted(
-                new RequestId(exchange.localId()),
-                exchange.fingerprint(),
-                exchange.service().name()));
-      }
+      reportRunCompleted();
       balancer.responseReceived(attempt.upstream, now - attempt.sentNanos, metadata.load(), now);
       if (response.status() >= MIN_SERVER_ERROR_STATUS && serverError == null) {
         if (!activeAttempts.isEmpty()) {
@@ -405,7 +439,74 @@
       }
       close();
       exchange.recordFirstByte(now);
-      exchange.sendResponse(response, attempt.upstream.value());
+      exchange.sendResponse(response, attempt.upstream.value(), this::releaseMemory);
+    }
+
+    /** Returns whether the caller gets a response with this head whatever its body is. */
+    private boolean isFinal(HttpResponse head) {
+      ResponseMetadata metadata = protocol.readResponse(head);
+      int status = head.status().code();
+      return status >= HTTP_OK
+          && status < MIN_UNSUCCESSFUL_STATUS
+          && metadata.hasUpstreamStamp()
+          && !metadata.notExecuted()
+          && !EventStreams.isEventStream(head.headers().get(HttpHeaderNames.CONTENT_TYPE));
+    }
+
+    /** Begins to pass on the response of one attempt, and cancels the others. */
+    private void onPassingBegan(Attempt attempt, BufferedResponse beginning) {
+      activeAttempts.remove(attempt);
+      cancelActiveAttempts();
+      activeAttempts.add(attempt);
+      cancelTimers();
+      CallerExchange caller = exchange.caller();
+      exchange.recordFirstByte(timers.nanos());
+      caller.beginResponseOfStatedLength(beginning.head().status(), beginning.head().headers());
+      caller.onRoomChange(attempt::applyBackpressure);
+      attempt.firstPartNanos = timers.nanos();
+      attempt.partPassed(Unpooled.wrappedBuffer(beginning.body()));
+      attempt.releaseMemory();
+      scheduleProgressCheck(attempt);
+    }
+
+    private void scheduleProgressCheck(Attempt attempt) {
+      long before = attempt.passedBytes;
+      deadlineTimer =
+          timers.schedule(
+              MAX_PASSING_PAUSE,
+              () -> {
+                if (attempt.passedBytes == before) {
+                  end(ErrorCode.DEADLINE_EXCEEDED, "the response does not move", Duration.ZERO);
+                } else {
+                  scheduleProgressCheck(attempt);
+                }
+              });
+    }
+
+    private void onPassingEnded(Attempt attempt, BufferedResponse beginning) {
+      long now = timers.nanos();
+      activeAttempts.remove(attempt);
+      balancer.responseReceived(
+          attempt.upstream,
+          attempt.firstPartNanos - attempt.sentNanos,
+          protocol.readResponse(beginning.head()).load(),
+          now);
+      reportRunCompleted();
+      close();
+      exchange.recordOutcome("delivered", attempt.upstream.value(), beginning.status());
+      exchange.caller().endResponse();
+      releaseMemory();
+    }
+
+    private void reportRunCompleted() {
+      if (suspect) {
+        suspect = false;
+        runDecisions.handle(
+            new RoutingEvent.ApplicationRunCompleted(
+                new RequestId(exchange.localId()),
+                exchange.fingerprint(),
+                exchange.service().name()));
+      }
     }
 
     private void onRefusal() {
@@ -416,7 +517,9 @@
       if (!activeAttempts.isEmpty()) {
         return;
       }
-      if (refusalCount < MAX_REFUSALS && retryBudget(exchange.service().name()).tryAcquire()) {
+      if (refusalCount < MAX_REFUSALS
+          && bodyCanBeSentAgain()
+          && retryBudget(exchange.service().name()).tryAcquire()) {
         requestRun("refused_by_upstream");
       } else {
         failIfNoActiveAttempt(ErrorCode.OVERLOADED, "upstreams refuse work");
@@ -434,6 +537,14 @@
           attempt.upstream,
           failure,
           reason);
+      if (attempt.passing()) {
+        if (failure == CallFailure.BROKEN) {
+          crashDetector.check(attempt.target, exchange, attempt.sentNanos, crashed -> {});
+        }
+        end(ErrorCode.UPSTREAM_FAILED, "upstream broke off inside the response", Duration.ZERO);
+        return;
+      }
+      attempt.releaseMemory();
       switch (failure) {
         case NOT_SENT -> {
           // The upstream did not receive the request, so this is not counted as an attempt.
@@ -461,14 +572,17 @@
     }
 
     /** An attempt: one call of the request to one upstream. */
-    private final class Attempt extends BufferedResponseListener {
+    private final class Attempt extends PassingResponseListener {
       private final Instance target;
       private final UpstreamId upstream;
       private final long sentNanos;
       private @Nullable Call call;
       private boolean sent;
+      private long firstPartNanos;
+      private long passedBytes;
 
       Attempt(Instance target, long sentNanos) {
+        super(fleet.buffers());
         this.target = target;
         this.upstream = new UpstreamId(target.id());
         this.sentNanos = sentNanos;
@@ -480,6 +594,41 @@
         exchange.recordSent();
       }
 
+      @Override
+      protected boolean isFinal(HttpResponse head) {
+        return ActiveRequest.this.isFinal(head);
+      }
+
+      @Override
+      protected void passingBegan(BufferedResponse beginning) {
+        onPassingBegan(this, beginning);
+      }
+
+      @Override
+      protected void partPassed(ByteBuf part) {
+        passedBytes += part.readableBytes();
+        exchange.caller().sendBodyPart(part);
+        applyBackpressure();
+      }
+
+      /** Reads from the upstream only while its caller reads or the node has room to buffer. */
+      void applyBackpressure() {
+        setAutoRead(exchange.caller().mayBuffer());
+      }
+
+      @Override
+      protected void passingEnded(BufferedResponse beginning) {
+        onPassingEnded(this, beginning);
+      }
+
+      @Override
+      protected void setAutoRead(boolean read) {
+        Call c = call;
+        if (c != null) {
+          c.setAutoRead(read);
+        }
+      }
+
       @Override
       protected void responseReceived(BufferedResponse response) {
         ActiveRequest.this.onResponse(this, response);
--- a/gateway/src/main/java/org/mustardlatch/gateway/EngineCalls.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/EngineCalls.java
@@ -502,6 +502,7 @@
       if (events.isReadable()) {
         beginCallerResponse(received);
         caller.sendBodyPart(events);
+        applyBackpressure();
       }
     }
 
@@ -511,14 +512,17 @@
         stream.exchange.recordFirstByte(timers.nanos());
         caller.beginResponse(received.head().status(), received.head().headers());
       }
-      caller.onWritabilityChange(this::applyBackpressure);
+      caller.onRoomChange(this::applyBackpressure);
     }
 
-    /** Reads from the engine only while the connection to the caller is writable. */
+    /**
+     * Reads from the engine only while its caller reads or the node has room to buffer events,
+     * since engines cut off responses that remain unread.
+     */
     private void applyBackpressure() {
       ActiveCall active = calls.get(attempt);
       if (active != null) {
-        active.call.setAutoRead(stream.exchange.caller().writable());
+        active.call.setAutoRead(stream.exchange.caller().mayBuffer());
       }
     }
 
--- a/gateway/src/main/java/org/mustardlatch/gateway/FleetState.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/FleetState.java
@@ -14,6 +14,7 @@
 import org.mustardlatch.gateway.config.GatewayConfiguration;
 import org.mustardlatch.gateway.config.Instance;
 import org.mustardlatch.gateway.config.InstanceTable;
+import org.mustardlatch.gateway.http.BufferBudget;
 import org.mustardlatch.gateway.http.UpstreamPool;
 import org.mustardlatch.gateway.log.EventLog;
 import org.mustardlatch.gateway.log.LogEvent;
@@ -36,6 +37,7 @@
 
   private final EventLoop loop;
   private final TimerService timers;
+  private final BufferBudget buffers;
   private final InstanceTable table = new InstanceTable();
   private final Map<String, PooledInstance> pools = new HashMap<>();
   private final Map<String, Long> pauseEndNanos = new HashMap<>();
@@ -47,8 +49,19 @@
 
   /** Creates a state without a configuration and without upstreams. */
   public FleetState(EventLoop loop, TimerService timers) {
+    this(loop, timers, BufferBudget.ofHeap());
+  }
+
+  /** Creates a state without a configuration and without upstreams, with this memory for data. */
+  FleetState(EventLoop loop, TimerService timers, BufferBudget buffers) {
     this.loop = loop;
     this.timers = timers;
+    this.buffers = buffers;
+  }
+
+  /** Returns the memory for requests and responses of callers. */
+  BufferBudget buffers() {
+    return buffers;
   }
 
   /** Adds a task to run after every change of the configuration or the upstreams. */
@@ -130,7 +143,8 @@
             target.address(),
             CONNECT_TIMEOUT,
             MAX_IDLE_FOR_NON_REPEATABLE,
-            head -> responseObserver.accept(target, head));
+            head -> responseObserver.accept(target, head),
+            buffers.maxBytesToOneUpstream());
     pools.put(target.id(), new PooledInstance(target, pool));
     return pool;
   }
--- a/gateway/src/main/java/org/mustardlatch/gateway/Gateway.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/Gateway.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -102,7 +103,8 @@
             generationHandler,
             () -> peers.members().size());
     this.callerServer =
-        new CallerServer(loop, timers, settings.callerAddress(), this, this::limits);
+        new CallerServer(
+            loop, timers, settings.callerAddress(), this, this::limits, fleet.buffers());
     this.readinessServer = new PageServer(loop, timers, settings.readinessAddress());
     readinessServer.addPage(settings.readinessPath(), this::readiness);
     InetSocketAddress metricsAddress = settings.metricsAddress();
@@ -110,6 +112,8 @@
         metricsAddress == null ? null : new PageServer(loop, timers, metricsAddress);
     if (metricsServer != null) {
       metrics.registerGauge("mustardlatch.open.requests", this::openRequests);
+      metrics.registerGauge("mustardlatch.buffered.bytes", fleet.buffers()::usedBytes);
+      metrics.registerGauge("mustardlatch.buffers.waiting", fleet.buffers()::waiting);
       metrics.registerGauge("mustardlatch.upstreams", () -> fleet.instances().size());
       metricsServer.addPage(
           "/metrics",
@@ -245,6 +249,15 @@
     }
   }
 
+  /** The body of a generation is sent to several engines, so it is held whole. */
+  @Override
+  public boolean mayPassThrough(HttpRequest head) {
+    GatewayConfiguration c = fleet.configuration();
+    String host = head.headers().get(HttpHeaderNames.HOST, "");
+    GatewayRoute route = c == null ? null : c.findRoute(host, head.uri());
+    return route != null && route.kind() != RequestKind.STREAMING;
+  }
+
   @Override
   public void requestReceived(CallerExchange caller) {
     GatewayConfiguration c = fleet.configuration();
--- a/gateway/src/main/java/org/mustardlatch/gateway/GenerationRequestHandler.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/GenerationRequestHandler.java
@@ -179,7 +179,7 @@
             new ModelId(FleetManifest.modelName(exchange.service().name())),
             Math.max(1, metadata.promptTokens()),
             Math.max(1, metadata.maxOutputTokens()),
-            exchange.caller().body().length,
+            exchange.caller().body().heldLength(),
             FleetManifest.prefixBlocks(metadata),
             exchange.fingerprint(),
             Math.min(exchange.deadlineNanos(), firstTokenDeadline),
--- a/gateway/src/main/java/org/mustardlatch/gateway/PageServer.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/PageServer.java
@@ -11,6 +11,7 @@
 import java.util.function.Supplier;
 import org.mustardlatch.core.time.TimerService;
 import org.mustardlatch.gateway.config.CallerLimits;
+import org.mustardlatch.gateway.http.BufferBudget;
 import org.mustardlatch.gateway.http.CallerExchange;
 import org.mustardlatch.gateway.http.CallerHandler;
 import org.mustardlatch.gateway.http.CallerServer;
@@ -26,11 +27,21 @@
    */
   record Page(int status, String contentType, String body) {}
 
+  private static final long BUFFER_BYTES = 1 << 20;
+
   private final CallerServer server;
   private final Map<String, Supplier<Page>> pages = new HashMap<>();
 
   PageServer(EventLoop loop, TimerService timers, InetSocketAddress address) {
-    this.server = new CallerServer(loop, timers, address, this, () -> CallerLimits.DEFAULT);
+    // Readiness and metrics are served also when the memory for callers is used up.
+    this.server =
+        new CallerServer(
+            loop,
+            timers,
+            address,
+            this,
+            () -> CallerLimits.DEFAULT,
+            new BufferBudget(BUFFER_BYTES));
   }
 
   /** Adds a page whose content is computed at every request to its path. */
--- a/gateway/src/main/java/org/mustardlatch/gateway/RoutedExchange.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/RoutedExchange.java
@@ -24,6 +24,7 @@
 import org.mustardlatch.gateway.http.CallRequest;
 import org.mustardlatch.gateway.http.CallerExchange;
 import org.mustardlatch.gateway.http.HopByHopHeaders;
+import org.mustardlatch.gateway.http.RequestBody;
 import org.mustardlatch.gateway.log.EventLog;
 import org.mustardlatch.gateway.log.LogEvent;
 
@@ -141,7 +142,7 @@
 
   /**
    * Returns the digest of the method, the host, the target and the body, which determine what an
-   * upstream executes.
+   * upstream executes. Of a body that passes through it covers the beginning and the length.
    */
   Fingerprint fingerprint() {
     Fingerprint known = fingerprint;
@@ -151,7 +152,11 @@
       h.putString(head.method().name() + " ", StandardCharsets.UTF_8);
       h.putString(head.headers().get(HttpHeaderNames.HOST, "") + " ", StandardCharsets.UTF_8);
       h.putString(head.uri() + "\n", StandardCharsets.UTF_8);
-      h.putBytes(caller.body());
+      RequestBody body = caller.body();
+      h.putBytes(body.identifyingBytes());
+      if (body.passesThrough()) {
+        h.putLong(body.statedLength());
+      }
       known = new Fingerprint(h.hash().toString());
       fingerprint = known;
     }
@@ -207,8 +212,18 @@
    *     response of an earlier attempt
    */
   void sendResponse(BufferedResponse response, String detail) {
+    sendResponse(response, detail, () -> {});
+  }
+
+  /**
+   * Like the method above.
+   *
+   * @param departed runs when the response has left this node, or will not be sent
+   */
+  void sendResponse(BufferedResponse response, String detail, Runnable departed) {
     recordOutcome("delivered", detail, response.status());
-    caller.sendResponse(response.head().status(), response.head().headers(), response.body());
+    HttpResponse head = response.head();
+    caller.sendResponse(head.status(), head.headers(), response.body(), departed);
   }
 
   /**
--- a/gateway/src/main/java/org/mustardlatch/gateway/http/BufferedResponseListener.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/http/BufferedResponseListener.java
@@ -17,17 +17,17 @@
   protected abstract void responseReceived(BufferedResponse completeResponse);
 
   @Override
-  public final void headReceived(HttpResponse head) {
+  public void headReceived(HttpResponse head) {
     response = new BufferedResponse(head);
   }
 
   @Override
-  public final void bodyReceived(ByteBuf part) {
+  public void bodyReceived(ByteBuf part) {
     requireResponse().append(part);
   }
 
   @Override
-  public final void completed(ResponseEnd end) {
+  public void completed(ResponseEnd end) {
     BufferedResponse r = requireResponse();
     if (endsInsideEvent(r, end)) {
       failed(CallFailure.BROKEN, "response ended inside an event");
@@ -45,7 +45,7 @@
         && !EventStreams.endsAfterEvent(r.body());
   }
 
-  private BufferedResponse requireResponse() {
+  final BufferedResponse requireResponse() {
     return Objects.requireNonNull(response, "no response head received");
   }
 }
--- a/gateway/src/main/java/org/mustardlatch/gateway/http/CallRequest.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/http/CallRequest.java
@@ -5,14 +5,14 @@
 import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
 
-/** An HTTP request to an upstream with its whole body. */
+/** An HTTP request to an upstream with its body. */
 public final class CallRequest {
   /** Default maximum length of the response body, bytes; it is held in memory. */
   public static final int DEFAULT_MAX_RESPONSE_BYTES = 1 << 20;
 
   private final @Nullable String id;
   private final HttpRequest head;
-  private final byte[] body;
+  private final RequestBody body;
   private final boolean repeatable;
   private final Predicate<HttpResponse> responseMatcher;
   private final long maxResponseBytes;
@@ -29,6 +29,11 @@
    *     since the upstream may be closing the others
    */
   public CallRequest(HttpRequest head, byte[] body, boolean repeatable) {
+    this(head, RequestBody.of(body), repeatable);
+  }
+
+  /** Like the constructor above, for a body that may still arrive. */
+  public CallRequest(HttpRequest head, RequestBody body, boolean repeatable) {
     this(null, head, body, repeatable, response -> true, DEFAULT_MAX_RESPONSE_BYTES);
   }
 
@@ -37,7 +42,7 @@
    *
    * @param id the id; a connection never carries two requests with the same one
    * @param head method, target and headers; the Content-Length is set when the request is sent
-   * @param body the whole body; not copied
+   * @param body the body, which may still arrive
    * @param repeatable whether the sender can repeat it after a failure
    * @param responseMatcher tests whether a response has the id; others on the connection, also
    *     those without an id, are skipped, and the connection is closed after the call
@@ -45,7 +50,7 @@
   public CallRequest(
       String id,
       HttpRequest head,
-      byte[] body,
+      RequestBody body,
       boolean repeatable,
       Predicate<HttpResponse> responseMatcher) {
     this(id, head, body, repeatable, responseMatcher, DEFAULT_MAX_RESPONSE_BYTES);
@@ -54,7 +59,7 @@
   private CallRequest(
       @Nullable String id,
       HttpRequest head,
-      byte[] body,
+      RequestBody body,
       boolean repeatable,
       Predicate<HttpResponse> responseMatcher,
       long maxResponseBytes) {
@@ -87,7 +92,7 @@
     return head;
   }
 
-  byte[] body() {
+  RequestBody body() {
     return body;
   }
 
--- a/gateway/src/main/java/org/mustardlatch/gateway/http/CallerExchange.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/http/CallerExchange.java
@@ -9,7 +9,7 @@
 public final class CallerExchange {
   private final CallerConnection connection;
   private final HttpRequest head;
-  private final byte[] body;
+  private final RequestBody body;
   private final long receivedNanos;
   private final boolean lastOnConnection;
   private boolean responseStarted;
@@ -18,7 +18,7 @@
   CallerExchange(
       CallerConnection connection,
       HttpRequest head,
-      byte[] body,
+      RequestBody body,
       long receivedNanos,
       boolean lastOnConnection) {
     this.connection = connection;
@@ -33,8 +33,8 @@
     return head;
   }
 
-  /** Returns the whole body of the request. */
-  public byte[] body() {
+  /** Returns the body of the request, which may still arrive. */
+  public RequestBody body() {
     return body;
   }
 
@@ -63,10 +63,22 @@
 
   /** Sends a complete response, unless one has been started. */
   public void sendResponse(HttpResponseStatus status, HttpHeaders headers, byte[] content) {
+    sendResponse(status, headers, content, () -> {});
+  }
+
+  /**
+   * Sends a complete response, unless one has been started.
+   *
+   * @param departed runs when the content has left this node, or will not be sent
+   */
+  public void sendResponse(
+      HttpResponseStatus status, HttpHeaders headers, byte[] content, Runnable departed) {
     if (!done && !responseStarted) {
       responseStarted = true;
       done = true;
-      connection.sendResponse(this, status, headers, content);
+      connection.sendResponse(this, status, headers, content, departed);
+    } else {
+      departed.run();
     }
   }
 
@@ -74,7 +86,18 @@
   public void beginResponse(HttpResponseStatus status, HttpHeaders headers) {
     if (!done && !responseStarted) {
       responseStarted = true;
-      connection.beginResponse(this, status, headers);
+      connection.beginResponse(status, headers, false);
+    }
+  }
+
+  /**
+   * Sends the head of a response whose body follows in parts, with the length that the headers
+   * state.
+   */
+  public void beginResponseOfStatedLength(HttpResponseStatus status, HttpHeaders headers) {
+    if (!done && !responseStarted) {
+      responseStarted = true;
+      connection.beginResponse(status, headers, true);
     }
   }
 
@@ -101,14 +124,17 @@
     }
   }
 
-  /** Returns whether more bytes can be written without exceeding the outbound buffer. */
-  public boolean writable() {
-    return connection.writable();
+  /**
+   * Returns whether more parts of the response may be sent: the caller reads, or the node has room
+   * to buffer for it.
+   */
+  public boolean mayBuffer() {
+    return !done && connection.mayBuffer();
   }
 
-  /** Sets the task that runs whenever {@link #writable} changes, until the exchange ends. */
-  public void onWritabilityChange(Runnable task) {
-    connection.onWritabilityChange(task);
+  /** Sets the task that runs when {@link #mayBuffer} may have changed, until the exchange ends. */
+  public void onRoomChange(Runnable task) {
+    connection.onRoomChange(task);
   }
 
   void markCallerDisconnected() {
--- a/gateway/src/main/java/org/mustardlatch/gateway/http/CallerServer.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/http/CallerServer.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.net.InetSocketAddress;
@@ -29,11 +30,15 @@
   // resets.
   private static final int BACKLOG = 512;
 
+  // Parts of a response that may be queued for a caller before they count toward the node's memory.
+  private static final int UNCOUNTED_BYTES = 16 << 10;
+
   private final EventLoop loop;
   private final TimerService timers;
   private final InetSocketAddress address;
   private final CallerHandler handler;
   private final Supplier<CallerLimits> limits;
+  private final BufferBudget buffers;
   private final Set<CallerConnection> connections = new HashSet<>();
   private @Nullable Channel listener;
   private boolean draining;
@@ -46,7 +51,9 @@
       TimerService timers,
       InetSocketAddress address,
       CallerHandler handler,
-      Supplier<CallerLimits> limits) {
+      Supplier<CallerLimits> limits,
+      BufferBudget buffers) {
+    this.buffers = buffers;
     this.loop = loop;
     this.timers = timers;
     this.address = address;
@@ -61,6 +68,10 @@
     b.option(ChannelOption.SO_BACKLOG, BACKLOG);
     b.option(ChannelOption.SO_REUSEADDR, true);
     ChannelOptions.all().forEach((option, value) -> setChildOption(b, option, value));
+    b.childOption(ChannelOption.RECVBUF_ALLOCATOR, ChannelOptions.readSizes());
+    b.childOption(
+        ChannelOption.WRITE_BUFFER_WATER_MARK,
+        new WriteBufferWaterMark(UNCOUNTED_BYTES / 2, UNCOUNTED_BYTES));
     b.childHandler(
         new ChannelInitializer<Channel>() {
           @Override
@@ -127,6 +138,10 @@
     return limits.get();
   }
 
+  BufferBudget buffers() {
+    return buffers;
+  }
+
   TimerService timers() {
     return timers;
   }
--- a/gateway/src/main/java/org/mustardlatch/gateway/http/ChannelOptions.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/http/ChannelOptions.java
@@ -1,6 +1,8 @@
 package org.mustardlatch.gateway.http;
 
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioChannelOption;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -13,8 +15,18 @@
   private static final int KEEP_ALIVE_INTERVAL_S = 1;
   private static final int KEEP_ALIVE_PROBES = 2;
 
+  // A read may exceed the memory that a connection may use by its size.
+  private static final int MIN_READ_BYTES = 512;
+  private static final int FIRST_READ_BYTES = 2_048;
+  private static final int MAX_READ_BYTES = 16_384;
+
   private ChannelOptions() {}
 
+  /** Returns the sizes of reads, which adapt to what arrives on a connection. */
+  static RecvByteBufAllocator readSizes() {
+    return new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES);
+  }
+
   static Map<ChannelOption<?>, Object> all() {
     Map<ChannelOption<?>, Object> options = new LinkedHashMap<>();
     options.put(ChannelOption.TCP_NODELAY, true);
--- a/gateway/src/main/java/org/mustardlatch/gateway/http/UpstreamConnection.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/http/UpstreamConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -13,6 +14,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectDecoder;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
@@ -46,7 +48,9 @@
   private final ResponseDecoder decoder;
   private final Channel channel;
   private @Nullable Call call;
+  // Null until the end of the request has been passed to the channel.
   private @Nullable ChannelFuture requestWritten;
+  private @Nullable BodySink bodySink;
   private boolean carriedRequestWithoutId;
   private boolean skippingResponse;
   private boolean headReceived;
@@ -104,20 +108,91 @@
     HttpHeaders headers = request.head().headers();
     decoder.expectNoBody(HttpMethod.HEAD.equals(request.head().method()));
     headers.remove(HttpHeaderNames.TRANSFER_ENCODING);
-    if (request.body().length > 0 || headers.contains(HttpHeaderNames.CONTENT_LENGTH)) {
-      headers.set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
+    RequestBody body = request.body();
+    if (body.isComplete()) {
+      byte[] bytes = body.bytes();
+      if (bytes.length > 0 || headers.contains(HttpHeaderNames.CONTENT_LENGTH)) {
+        headers.set(HttpHeaderNames.CONTENT_LENGTH, bytes.length);
+      }
+      var unused = channel.write(request.head());
+      requestWritten =
+          channel.writeAndFlush(new DefaultLastHttpContent(Unpooled.wrappedBuffer(bytes)));
+    } else {
+      sendArrivingBody(request.head(), body);
     }
-    var unused = channel.write(request.head());
-    requestWritten =
-        channel.writeAndFlush(new DefaultLastHttpContent(Unpooled.wrappedBuffer(request.body())));
     next.listener().sent();
   }
 
+  /** Sends what has arrived of a body, and the rest when it arrives. */
+  private void sendArrivingBody(HttpRequest head, RequestBody body) {
+    requestWritten = null;
+    if (body.statedLength() == RequestBody.UNKNOWN_LENGTH) {
+      head.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
+      head.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+    } else {
+      head.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.statedLength());
+    }
+    var unused = channel.write(head);
+    BodySink sink = new BodySink(body);
+    bodySink = sink;
+    ByteBuf held = Unpooled.wrappedBuffer(body.bytes());
+    body.attach(sink);
+    channel
+        .writeAndFlush(new DefaultHttpContent(held))
+        .addListener(
+            f -> {
+              body.heldPartWritten();
+              body.resume();
+            });
+  }
+
+  private void detachBody() {
+    BodySink sink = bodySink;
+    bodySink = null;
+    if (sink != null) {
+      sink.body.detach(sink);
+      pool.bodyDetached(sink.body);
+    }
+  }
+
+  /** Sends a request body while it arrives. */
+  private final class BodySink implements RequestBody.Sink {
+    private final RequestBody body;
+
+    BodySink(RequestBody body) {
+      this.body = body;
+    }
+
+    @Override
+    public void partArrived(ByteBuf part) {
+      int count = part.readableBytes();
+      pool.bytesQueued(count);
+      channel
+          .writeAndFlush(new DefaultHttpContent(part))
+          .addListener(
+              f -> {
+                pool.bytesWritten(count);
+                body.partWritten(count);
+              });
+    }
+
+    @Override
+    public void ended() {
+      requestWritten = channel.writeAndFlush(new DefaultLastHttpContent());
+    }
+
+    @Override
+    public boolean ready() {
+      return pool.hasRoom(body);
+    }
+  }
+
   void setAutoRead(boolean read) {
     channel.config().setAutoRead(read);
   }
 
   void close() {
+    detachBody();
     call = null;
     closed = true;
     var unused = channel.close();
@@ -239,7 +314,9 @@
     }
     if (content instanceof LastHttpContent && call == c) {
       Throwable writeError = writeError();
-      if (responseEnd == ResponseEnd.CONNECTION_CLOSE && writeError != null) {
+      if (responseEnd == ResponseEnd.CONNECTION_CLOSE && requestWritten == null) {
+        failCall(CallFailure.BROKEN, "connection closed before the end of the request");
+      } else if (responseEnd == ResponseEnd.CONNECTION_CLOSE && writeError != null) {
         failCall(CallFailure.BROKEN, "request not written: " + writeError.getMessage());
       } else {
         completeCall(c);
@@ -259,6 +336,7 @@
   }
 
   private void completeCall(Call c) {
+    detachBody();
     call = null;
     ChannelFuture w = requestWritten;
     // A request that is not fully written must not be mixed with the next one.
@@ -297,6 +375,7 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+    FatalErrors.endProcessIfFatal(cause);
     failCall(CallFailure.BROKEN, String.valueOf(cause.getMessage()));
   }
 
--- a/gateway/src/main/java/org/mustardlatch/gateway/http/UpstreamPool.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/http/UpstreamPool.java
@@ -14,6 +14,9 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.mustardlatch.core.time.MonotonicClock;
 
@@ -28,6 +31,9 @@
   private final Duration connectTimeout;
   private final Duration maxIdleForNonRepeatable;
   private final Consumer<HttpResponse> headObserver;
+  private final long maxQueuedBytes;
+  private final Set<RequestBody> waitingBodies = new LinkedHashSet<>();
+  private long queuedBytes;
   private final Deque<UpstreamConnection> idleConnections = new ArrayDeque<>();
   private boolean closed;
 
@@ -46,6 +52,31 @@
       Duration connectTimeout,
       Duration maxIdleForNonRepeatable,
       Consumer<HttpResponse> headObserver) {
+    this(
+        loop,
+        clock,
+        address,
+        connectTimeout,
+        maxIdleForNonRepeatable,
+        headObserver,
+        Long.MAX_VALUE);
+  }
+
+  /**
+   * Creates a pool without connections.
+   *
+   * @param maxQueuedBytes bytes of bodies that pass through which may be queued on all connections
+   *     together; one read more may be
+   */
+  public UpstreamPool(
+      EventLoop loop,
+      MonotonicClock clock,
+      InetSocketAddress address,
+      Duration connectTimeout,
+      Duration maxIdleForNonRepeatable,
+      Consumer<HttpResponse> headObserver,
+      long maxQueuedBytes) {
+    this.maxQueuedBytes = maxQueuedBytes;
     this.loop = loop;
     this.clock = clock;
     this.address = address;
@@ -58,6 +89,38 @@
     headObserver.accept(head);
   }
 
+  /** Counts bytes of a body that passes through which were passed to a connection. */
+  void bytesQueued(int count) {
+    queuedBytes += count;
+  }
+
+  /** Counts bytes that left this node, or whose connection was closed. */
+  void bytesWritten(int count) {
+    queuedBytes -= count;
+    if (queuedBytes < maxQueuedBytes && !waitingBodies.isEmpty()) {
+      // The first may have nothing to send, so all of them go on before the queue runs empty.
+      boolean resumeAll = queuedBytes < maxQueuedBytes / 2;
+      List<RequestBody> resumed =
+          waitingBodies.stream().limit(resumeAll ? waitingBodies.size() : 1).toList();
+      resumed.forEach(waitingBodies::remove);
+      resumed.forEach(RequestBody::resume);
+    }
+  }
+
+  /** Called when a body is no longer passed to an upstream of this pool. */
+  void bodyDetached(RequestBody body) {
+    waitingBodies.remove(body);
+  }
+
+  /** Returns whether more of a body may be queued; if not, the body is resumed in its turn. */
+  boolean hasRoom(RequestBody body) {
+    if (queuedBytes < maxQueuedBytes) {
+      return true;
+    }
+    waitingBodies.add(body);
+    return false;
+  }
+
   long now() {
     return clock.nanos();
   }
@@ -94,6 +157,7 @@
   private void connect(Call call) {
     Bootstrap b = new Bootstrap().group(loop).channel(NioSocketChannel.class);
     ChannelOptions.all().forEach((option, value) -> setOption(b, option, value));
+    b.option(ChannelOption.RECVBUF_ALLOCATOR, ChannelOptions.readSizes());
     b.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectTimeout.toMillis());
     b.handler(
         new ChannelInitializer<Channel>() {
--- a/gateway/src/main/java/org/mustardlatch/gateway/log/LogEvent.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/log/LogEvent.java
@@ -75,6 +75,7 @@
   STOP_ENDING(8041, Level.WARN, "grace period nearly over, open connections={} requests={}"),
   RESPONSE_UNMATCHED(
       8042, Level.WARN, "request={} response without its id skipped from={} status={}"),
+  PROCESS_CANNOT_SERVE(8043, Level.ERROR, "this process can't serve and ends: {}"),
   UPSTREAM_PROBED(8035, Level.INFO, "upstream={} new_connection={} crashed={}"),
   KV_NOT_FREED(8028, Level.WARN, "kv={} upstream={} not freed reason={}");
 
--- a/gateway/src/main/java/org/mustardlatch/gateway/node/GatewayNode.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/node/GatewayNode.java
@@ -16,6 +16,7 @@
 import org.mustardlatch.gateway.Peers;
 import org.mustardlatch.gateway.config.GatewayConfiguration;
 import org.mustardlatch.gateway.config.Instance;
+import org.mustardlatch.gateway.http.FatalErrors;
 import org.mustardlatch.gateway.http.NettyTimerService;
 import org.mustardlatch.gateway.http.UpstreamPool;
 import org.mustardlatch.gateway.store.HttpStoreReader;
@@ -27,6 +28,7 @@
 
   private final MultiThreadIoEventLoopGroup group;
   private final EventLoop loop;
+  private volatile boolean stopping;
   private final Peers peers;
   private final Gateway gateway;
   private final StoreWatcher<GatewayConfiguration> configurations;
@@ -36,6 +38,7 @@
   public GatewayNode(PlatformComponents components) {
     group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     loop = group.next();
+    FatalErrors.watch(loop, "data path", () -> stopping);
     TimerService timers = new NettyTimerService(loop);
     RandomGenerator random =
         new SplittableRandom(System.nanoTime() ^ components.settings().host().hashCode());
@@ -93,6 +96,7 @@
 
   /** Closes all connections and stops the event loop. */
   public void stop() {
+    stopping = true;
     peers.stop();
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
   }
--- a/gateway/src/test/java/org/mustardlatch/gateway/http/CallerConnectionTest.java
+++ b/gateway/src/test/java/org/mustardlatch/gateway/http/CallerConnectionTest.java
@@ -57,7 +57,8 @@
             new VirtualTimerService(),
             new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
             handler,
-            () -> CallerLimits.DEFAULT);
+            () -> CallerLimits.DEFAULT,
+            new BufferBudget(1 << 20));
     BrokenSocket channel = new BrokenSocket();
     channel.pipeline().addLast(new RequestDecoder(1000), new CallerConnection(server, channel));
     channel.writeInbound(
