Split CellAdmission into reservations, engine outcomes and capacity forecast

CellAdmission had 694 lines. The reservations of a cell and what they occupy move to ReservationTable, the effect of outcomes on engines to EngineOutcomes, and the predicted wait to CapacityForecast. No decision changes; the routing tests pass unchanged.

--- a/core/src/main/java/org/mustardlatch/core/routing/CellAdmission.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/CellAdmission.java
@@ -1,7 +1,6 @@
 package org.mustardlatch.core.routing;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -14,10 +13,8 @@
 import org.mustardlatch.core.error.ErrorCode;
 import org.mustardlatch.core.manifest.Upstream;
 import org.mustardlatch.core.model.AttemptId;
-import org.mustardlatch.core.model.Fingerprint;
 import org.mustardlatch.core.model.HostId;
 import org.mustardlatch.core.model.UpstreamId;
-import org.mustardlatch.core.model.WorkspaceId;
 import org.mustardlatch.core.peer.AdmissionMessage.CellSummary;
 import org.mustardlatch.core.peer.AdmissionMessage.Outcome;
 import org.mustardlatch.core.peer.AdmissionMessage.ReservationRelease;
@@ -40,22 +37,11 @@
   /** Time that a reservation lasts beyond the predicted first token, nanoseconds. */
   static final long GRANT_MARGIN_NANOS = 2_000_000_000L;
 
-  /** Time to live of a reservation after each renewal, in any stage, nanoseconds. */
-  static final long RENEWED_RESERVATION_NANOS = 20_000_000_000L;
-
   // Every response carries a summary; in a burst it is not recomputed for each of them.
   private static final long MAX_SUMMARY_AGE_NANOS = 2_000_000;
 
   // Requests at the head of the queue that are tried when the first one has no fitting engine.
   private static final int QUEUE_LOOKAHEAD = 4;
-  // A blocked engine gets no new work for this time after a crash or a refusal.
-  private static final long CRASH_BLOCK_NANOS = 3_000_000_000L;
-  private static final long REFUSAL_BLOCK_NANOS = 150_000_000L;
-  // Averages the request size over about the last ten requests.
-  private static final double NEWEST_SIZE_WEIGHT = 0.1;
-  // Departures per slot and second that are assumed until departures have been observed: a request
-  // occupies a slot for about 10 s.
-  private static final double INITIAL_DEPARTURES_PER_SLOT = 0.1;
 
   /** Collaborators that the cells of a node and its {@link RequestCoordinator} share. */
   record Environment(
@@ -70,21 +56,20 @@
   private final CrashEvidence evidence;
   private final NodeSettings settings;
   private final RetryAfterJitter retryAfterJitter;
-  private final CrashListener crashListener;
+  private final ReservationTable reservations;
+  private final EngineOutcomes outcomes;
   private final Map<UpstreamId, EngineState> engines = new LinkedHashMap<>();
-  private final Map<AttemptId, Reservation> reservations = new HashMap<>();
   private final FairQueue queue = new FairQueue();
   private final KvTransferLimiter transferLimiter = new KvTransferLimiter();
   private final DepartureRate departureRate = new DepartureRate();
   private Placer placer;
+  private final CapacityForecast forecast;
   private final UnavailableUpstreams unavailableUpstreams;
   private final UpstreamLimits upstreamLimits;
   private final long handoverUntilNanos;
   private @Nullable CellSummary summary;
   private long summaryComputedNanos;
   private long lastActivityNanos;
-  // KV memory of prompt and output, averaged over recent requests; 0 before the first one.
-  private double averageRequestPieces;
 
   CellAdmission(
       Cell cell,
@@ -96,10 +81,18 @@
     this.evidence = env.evidence();
     this.settings = env.settings();
     this.retryAfterJitter = new RetryAfterJitter(env.random());
-    this.crashListener = crashListener;
+    this.reservations =
+        new ReservationTable(
+            commands,
+            () -> this.cell.model().tokenGapTarget().toNanos(),
+            transferLimiter,
+            departureRate);
+    this.outcomes = new EngineOutcomes(commands, reservations, transferLimiter, crashListener);
     this.unavailableUpstreams = unavailableUpstreams;
     this.upstreamLimits = env.upstreamLimits();
     this.placer = createPlacer(cell);
+    this.forecast =
+        new CapacityForecast(queue, transferLimiter, departureRate, cell.model(), placer);
     this.handoverUntilNanos = commands.now() + HANDOVER_NANOS;
     this.lastActivityNanos = commands.now();
   }
@@ -109,7 +102,7 @@
   }
 
   boolean isIdle() {
-    return reservations.isEmpty() && queue.size() == 0;
+    return reservations.size() == 0 && queue.size() == 0;
   }
 
   long lastActivityNanos() {
@@ -132,8 +125,8 @@
     long now = commands.now();
     CellSummary current = summary;
     if (current == null || now - summaryComputedNanos >= MAX_SUMMARY_AGE_NANOS) {
-      int free = Math.max(0, freeDecodeCapacity() - queue.size());
-      current = new CellSummary(cell.name(), free, estimateWaitNanos(null));
+      int free = Math.max(0, forecast.freeDecodeCapacity(now) - queue.size());
+      current = new CellSummary(cell.name(), free, forecast.estimateWaitNanos(null, now));
       summary = current;
       summaryComputedNanos = now;
     }
@@ -155,7 +148,7 @@
       sendQueued(request);
       return;
     }
-    updateAverageSize(request);
+    forecast.requestArrived(request);
     if (evidence.suspicionLevel(request.fingerprint(), commands.now())
         == SuspicionLevel.QUARANTINED) {
       refuse(request, ErrorCode.REQUEST_QUARANTINED, Duration.ZERO);
@@ -184,9 +177,7 @@
   /** Removes an attempt from the queue and frees its reservation. */
   void withdraw(AttemptId attempt) {
     queue.remove(attempt);
-    Reservation r = reservations.remove(attempt);
-    if (r != null) {
-      freeReservation(r, false);
+    if (reservations.remove(attempt, false) != null) {
       serveQueue();
     }
   }
@@ -194,28 +185,17 @@
   /** Extends or adopts a reservation and updates the engine estimates with its progress. */
   void renew(HostId from, ReservationRenew renew) {
     Reservation r = reservations.get(renew.attempt());
+    EngineState e = engines.get(renew.upstream());
     if (r == null) {
-      adoptReservation(from, renew);
+      if (e != null) {
+        reservations.adopt(from, renew, e);
+      }
       return;
     }
-    if (r.kvSource == null) {
-      moveAdoptedReservation(r, renew);
-    }
-    if (renew.stage() == Stage.TRANSFER && r.stage == Stage.PREFILL) {
-      if (r.prefillEngine != null) {
-        r.prefillEngine.failureCount = 0;
-      }
-      endPrefill(r, true);
-      enterStage(r, Stage.TRANSFER);
-    } else if (renew.stage() == Stage.DECODE && r.stage != Stage.DECODE) {
-      endTransfer(r, true);
-      enterStage(r, Stage.DECODE);
-      r.tokensUpdatedNanos = commands.now();
-      r.tokensSoFar = renew.tokensSoFar();
-    } else if (renew.stage() == Stage.DECODE) {
-      recordTokenProgress(r, renew.tokensSoFar());
+    if (r.kvSource == null && e != null) {
+      ReservationTable.moveAdopted(r, e);
     }
-    r.expiresNanos = commands.now() + RENEWED_RESERVATION_NANOS;
+    reservations.renew(r, renew);
     serveQueue();
   }
 
@@ -225,12 +205,9 @@
     Reservation r = reservations.get(release.attempt());
     EngineState e = engines.get(release.upstream());
     if (e != null) {
-      recordOutcome(e, r, release.outcome());
-    }
-    if (r != null) {
-      reservations.remove(release.attempt());
-      freeReservation(r, release.outcome() == Outcome.FINISHED);
+      outcomes.record(e, r, release.outcome());
     }
+    reservations.remove(release.attempt(), release.outcome() == Outcome.FINISHED);
     lastActivityNanos = commands.now();
     serveQueue();
   }
@@ -251,7 +228,7 @@
     }
     int unreserved = 0;
     Set<String> reserved = new HashSet<>();
-    for (Reservation r : reservations.values()) {
+    for (Reservation r : reservations.all()) {
       if (r.prefillEngine == e || r.decodeEngine == e) {
         reserved.add(r.attempt.toString());
       }
@@ -270,6 +247,7 @@
     if (!next.equals(cell)) {
       cell = next;
       placer = createPlacer(next);
+      forecast.cellChanged(next.model(), placer);
     }
   }
 
@@ -291,12 +269,7 @@
 
   /** Drops reservations and queued requests of nodes that are dead or removed. */
   void removeReservationsOfDeadNodes(Predicate<HostId> alive) {
-    for (Reservation r : new ArrayList<>(reservations.values())) {
-      if (!alive.test(r.requester)) {
-        reservations.remove(r.attempt);
-        freeReservation(r, false);
-      }
-    }
+    reservations.removeIf(r -> !alive.test(r.requester));
     for (ReservationRequest request : queue.allRequests()) {
       if (!alive.test(request.requester())) {
         queue.remove(request.attempt());
@@ -313,12 +286,7 @@
     long now = commands.now();
     placer.decayIdleEstimates(now);
     transferLimiter.decayEstimate(now);
-    for (Reservation r : new ArrayList<>(reservations.values())) {
-      if (now >= r.expiresNanos) {
-        reservations.remove(r.attempt);
-        freeReservation(r, false);
-      }
-    }
+    reservations.removeIf(r -> now >= r.expiresNanos);
     for (ReservationRequest request : queue.allRequests()) {
       if (now >= request.firstTokenDeadlineNanos()) {
         queue.remove(request.attempt());
@@ -397,7 +365,8 @@
         && p.nominalPrefillNanos()
             > request.budgetNanos() * (1 - settings.policyParameters().deadlineMarginShare())
         && queue.size() <= 1
-        && 2 * freeDecodeCapacity() > totalDecodeCapacity();
+        && 2 * forecast.freeDecodeCapacity(commands.now())
+            > forecast.totalDecodeCapacity(commands.now());
   }
 
   private void grant(ReservationRequest request, Placer.Placement p, boolean suspect) {
@@ -420,7 +389,8 @@
       r.stage = Stage.TRANSFER;
     } else {
       // On an engine that runs both stages, prompt and output share one slot and one allocation.
-      reserveSlot(prefill, r, prefill == p.decodeEngine() ? r.decodePieces : r.prefillPieces);
+      ReservationTable.reserveSlot(
+          prefill, r, prefill == p.decodeEngine() ? r.decodePieces : r.prefillPieces);
       r.prefillEngine = prefill;
       r.kvSource = prefill.upstream.id();
       upstreamLimits.started(prefill.upstream.id());
@@ -435,7 +405,7 @@
     }
     if (p.decodeEngine() != prefill) {
       upstreamLimits.started(p.decodeEngine().upstream.id());
-      reserveSlot(p.decodeEngine(), r, r.decodePieces);
+      ReservationTable.reserveSlot(p.decodeEngine(), r, r.decodePieces);
     }
     r.decodeEngine = p.decodeEngine();
     p.decodeEngine().locallyGrantedDecodeSlots++;
@@ -444,155 +414,15 @@
     }
     transferLimiter.acquire();
     r.hasTransferPermit = true;
-    reservations.put(r.attempt, r);
+    reservations.add(r);
     sendGrant(r);
   }
 
-  private static void reserveSlot(EngineState e, Reservation r, int pieces) {
-    e.reservedSlots++;
-    e.reservedPieces += pieces;
-    e.suspectCount += r.suspect ? 1 : 0;
-  }
-
-  private static void releaseSlot(EngineState e, Reservation r, int pieces) {
-    e.reservedSlots--;
-    e.reservedPieces -= pieces;
-    e.suspectCount -= r.suspect ? 1 : 0;
-  }
-
-  private void enterStage(Reservation r, Stage stage) {
-    r.stage = stage;
-    r.stageStartNanos = commands.now();
-  }
-
-  private void endPrefill(Reservation r, boolean finished) {
-    if (r.prefillEngine != null) {
-      r.prefillEngine.prefillEnded(r, commands.now(), finished);
-    }
-  }
-
-  /** Frees the permit and prefill engine of an attempt that starts decode or ended before it. */
-  private void endTransfer(Reservation r, boolean finished) {
-    long now = commands.now();
-    if (r.stage == Stage.PREFILL) {
-      endPrefill(r, false);
-    } else if (finished && r.decodeEngine != null && r.prefillEngine != r.decodeEngine) {
-      long duration = now - r.stageStartNanos;
-      long predicted = transferLimiter.predictedTransferNanos(r.kvBytes);
-      if (predicted > 0) {
-        r.decodeEngine.transferSlowdown.observe(duration, predicted);
-      }
-      transferLimiter.recordTransfer(r.kvBytes, duration, now);
-    }
-    if (r.hasTransferPermit) {
-      transferLimiter.release();
-      r.hasTransferPermit = false;
-    }
-    if (r.prefillEngine != null && r.prefillEngine != r.decodeEngine) {
-      releaseSlot(r.prefillEngine, r, r.prefillPieces);
-    }
-    r.prefillEngine = null;
-  }
-
-  /** Frees everything that is still reserved. */
-  private void freeReservation(Reservation r, boolean finished) {
-    if (r.stage != Stage.DECODE) {
-      endTransfer(r, false);
-    }
-    if (r.decodeEngine != null) {
-      releaseSlot(r.decodeEngine, r, r.decodePieces);
-      r.decodeEngine.locallyGrantedDecodeSlots -= r.kvSource == null ? 0 : 1;
-      r.decodeEngine = null;
-      if (finished) {
-        departureRate.recordDeparture(commands.now());
-      }
-    }
-  }
-
-  /** Updates the token slowdown of the decode engine with the tokens since the last renewal. */
-  private void recordTokenProgress(Reservation r, int tokens) {
-    long now = commands.now();
-    int count = tokens - r.tokensSoFar;
-    if (r.decodeEngine != null && count > 0) {
-      long predicted = cell.model().tokenGapTarget().toNanos() * count;
-      r.decodeEngine.tokenSlowdown.observe(now - r.tokensUpdatedNanos, predicted);
-    }
-    r.tokensSoFar = tokens;
-    r.tokensUpdatedNanos = now;
-  }
-
-  /** Creates a reservation from the renewal of one that another admitting node granted. */
-  private void adoptReservation(HostId from, ReservationRenew renew) {
-    EngineState e = engines.get(renew.upstream());
-    if (e == null) {
-      return;
-    }
-    Reservation r = new Reservation(renew.attempt(), from, null, 0, 1, 0);
-    r.stage = Stage.DECODE;
-    r.decodeEngine = e;
-    r.stageStartNanos = commands.now();
-    r.tokensSoFar = renew.tokensSoFar();
-    r.tokensUpdatedNanos = commands.now();
-    r.expiresNanos = commands.now() + RENEWED_RESERVATION_NANOS;
-    reserveSlot(e, r, r.decodePieces);
-    reservations.put(r.attempt, r);
-  }
-
-  /** Moves an adopted reservation to the engine of its renewal, for example prefill to decode. */
-  private void moveAdoptedReservation(Reservation r, ReservationRenew renew) {
-    EngineState next = engines.get(renew.upstream());
-    if (next != null && r.decodeEngine != null && next != r.decodeEngine) {
-      releaseSlot(r.decodeEngine, r, r.decodePieces);
-      reserveSlot(next, r, r.decodePieces);
-      r.decodeEngine = next;
-    }
-  }
-
-  /** Blocks an engine that refused, failed or crashed, and ends the backoff of one that works. */
-  private void recordOutcome(EngineState e, @Nullable Reservation r, Outcome outcome) {
-    long now = commands.now();
-    switch (outcome) {
-      case FINISHED -> e.failureCount = 0;
-      case CANCELLED -> {}
-      case REFUSED ->
-          e.blockedUntilNanos = Math.max(e.blockedUntilNanos, now + REFUSAL_BLOCK_NANOS);
-      case FAILED -> {
-        e.blockAfterFailure(now);
-        if (r != null && r.stage == Stage.TRANSFER) {
-          transferLimiter.reduceLimit(now);
-        }
-      }
-      case CRASHED -> recordCrash(e, r);
-    }
-  }
-
-  /** Blocks a crashed engine and reports the requests that ran on it, once per crash. */
-  private void recordCrash(EngineState e, @Nullable Reservation reportedBy) {
-    long now = commands.now();
-    e.blockFor(now, CRASH_BLOCK_NANOS);
-    e.prefixIndex.clear();
-    e.unreservedAttempts = 0;
-    if (reportedBy == null || reportedBy.countedCrashEngine == e) {
-      // Every entry node reports the same crash for its own attempts.
-      return;
-    }
-    List<Fingerprint> running = new ArrayList<>();
-    for (Reservation r : reservations.values()) {
-      boolean inDecode = r.decodeEngine == e && r.stage != Stage.PREFILL;
-      if ((r.prefillEngine == e || inDecode) && r.countedCrashEngine != e) {
-        r.countedCrashEngine = e;
-        if (r.fingerprint != null) {
-          running.add(r.fingerprint);
-        }
-      }
-    }
-    crashListener.engineCrashed(e.upstream.id(), running);
-  }
-
   /** Queues a request, or refuses it if its first token is predicted after the deadline. */
   private void enqueue(ReservationRequest request) {
-    long wait = estimateWaitNanos(request);
-    if (commands.now() + wait + shortestServiceNanos(request) > latestFirstTokenNanos(request)) {
+    long wait = forecast.estimateWaitNanos(request, commands.now());
+    if (commands.now() + wait + forecast.shortestServiceNanos(request)
+        > latestFirstTokenNanos(request)) {
       refuseOverloaded(request);
       return;
     }
@@ -601,67 +431,11 @@
     serveQueue();
   }
 
-  private void updateAverageSize(ReservationRequest request) {
-    int pieces = request.decodeMemoryPieces(cell.model().memoryPieceTokens());
-    averageRequestPieces =
-        averageRequestPieces == 0
-            ? pieces
-            : averageRequestPieces + NEWEST_SIZE_WEIGHT * (pieces - averageRequestPieces);
-  }
-
-  /** Returns the number of average-sized requests that fit into free slots and KV memory. */
-  private int freeDecodeCapacity() {
-    return placer.freeDecodeCapacity((int) averageRequestPieces, commands.now());
-  }
-
-  /** Returns the number of average-sized requests that fit when the engines are empty. */
-  private int totalDecodeCapacity() {
-    return placer.totalDecodeCapacity((int) averageRequestPieces, commands.now());
-  }
-
-  /** Returns the predicted prefill and transfer time on the fastest prefill engine. */
-  private long shortestServiceNanos(ReservationRequest request) {
-    double rate = 0;
-    for (EngineState e : placer.prefillEngines()) {
-      rate = Math.max(rate, e.upstream.prefillTokensPerSecond() / e.prefillSlowdown.ratio());
-    }
-    long bytes = cell.model().kvBytesPerToken() * request.promptTokens();
-    return (long) (request.promptTokens() * 1e9 / Math.max(1, rate))
-        + transferLimiter.predictedTransferNanos(bytes);
-  }
-
-  /**
-   * Returns the predicted wait of a request before its prefill, nanoseconds. If no engine can run a
-   * prefill, this is {@code Long.MAX_VALUE / 4}, so that sums with it do not overflow.
-   *
-   * @param request null for a request behind all those in the queue
-   */
-  private long estimateWaitNanos(@Nullable ReservationRequest request) {
-    long now = commands.now();
-    WorkspaceId workspace = request == null ? null : request.workspace();
-    long tokens =
-        workspace == null ? queue.queuedPromptTokens() : queue.promptTokensAhead(workspace);
-    double rate = placer.prefillTokensPerNano(now);
-    long next = placer.nanosUntilNextPrefill(now);
-    if (rate <= 0 || next == Long.MAX_VALUE) {
-      return Long.MAX_VALUE / 4;
-    }
-    long permittedWait = placer.nanosUntilPermitted(queue.size(), now);
-    long prefillWait = Math.max(permittedWait, next + (long) (tokens / rate));
-    int missingSlots = queue.size() + 1 - freeDecodeCapacity();
-    if (missingSlots <= 0) {
-      return prefillWait;
-    }
-    double initial = INITIAL_DEPARTURES_PER_SLOT * Math.max(1, totalDecodeCapacity());
-    return Math.max(
-        prefillWait, (long) (missingSlots * 1e9 / departureRate.perSecond(now, initial)));
-  }
-
   /** Refuses a request as overloaded, or as unavailable if no decode engine is usable. */
   private void refuseOverloaded(ReservationRequest request) {
     long budget = Math.max(1, request.budgetNanos());
     Duration retryAfter = retryAfterJitter.draw(summary().predictedWaitNanos(), budget);
-    boolean noEngine = totalDecodeCapacity() == 0;
+    boolean noEngine = forecast.totalDecodeCapacity(commands.now()) == 0;
     refuse(request, noEngine ? ErrorCode.UPSTREAM_UNAVAILABLE : ErrorCode.OVERLOADED, retryAfter);
   }
 
