Order waiting requests by rank, workspace and size, and let late ones wait

Ranks were not read, a request that could not be on time was refused although its caller would wait, large requests starved because each piece of free memory went to a small one, and a prompt larger than every engine got 400.

Where requests have ranks or workspaces, late ones wait as long as their caller does if they are predicted to be served, and take only capacity beyond what on-time load is likely to need. DecodeMemoryHold keeps memory of one engine for a large request whose turn has come. The platform path answers 503 to prompts that are too large. Other deployments keep their two workspaces and deadlines.

--- a/core/src/main/java/org/mustardlatch/core/peer/AdmissionMessage.java
+++ b/core/src/main/java/org/mustardlatch/core/peer/AdmissionMessage.java
@@ -22,6 +22,8 @@
    * @param finalBudgetNanos time left until the final deadline, nanoseconds
    * @param excluded upstreams that must not be used, for example after a failure
    * @param rank urgency, from 0 for the most urgent to 9
+   * @param waitBudgetNanos time left until the caller leaves without a first token, nanoseconds;
+   *     longer than the first-token budget if a late first token is of use
    */
   record Reserve(
       AttemptId attempt,
@@ -35,7 +37,8 @@
       long firstTokenBudgetNanos,
       long finalBudgetNanos,
       List<UpstreamId> excluded,
-      int rank)
+      int rank,
+      long waitBudgetNanos)
       implements AdmissionMessage {
     /** Copies the lists. */
     public Reserve {
--- a/core/src/main/java/org/mustardlatch/core/routing/AttemptDeadlines.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/AttemptDeadlines.java
@@ -36,7 +36,7 @@
   /**
    * Returns the time after which the end of the prefill is of no use any more. For a continued
    * stream it is the earlier of the final deadline and the stall timeout after the predicted first
-   * token; for a new stream, the later of the first-token deadline and the predicted first token,
+   * token; for a new stream, the later of the caller's wait limit and the predicted first token,
    * plus a grace period.
    */
   long firstTokenCutoffNanos(EntryRequest q, Attempt a) {
@@ -46,7 +46,7 @@
     if (q.tokensSent > 0) {
       return Math.min(q.request.finalDeadlineNanos(), predictedAtNanos + MIN_STALL_TIMEOUT_NANOS);
     }
-    return Math.max(q.request.firstTokenDeadlineNanos(), predictedAtNanos) + gracePeriod;
+    return Math.max(q.request.waitLimitNanos(), predictedAtNanos) + gracePeriod;
   }
 
   /** Returns the time after which a running prefill counts as late. */
--- a/core/src/main/java/org/mustardlatch/core/routing/AttemptDriver.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/AttemptDriver.java
@@ -101,7 +101,8 @@
             firstTokenBudgetNanos(q, a),
             r.finalDeadlineNanos() - now,
             excluded,
-            r.rank()));
+            r.rank(),
+            waitBudgetNanos(q, a)));
   }
 
   /**
@@ -118,6 +119,12 @@
     return q.request.firstTokenDeadlineNanos() - now - crossRegionDelay.delayNanos(a.cell);
   }
 
+  /** Like {@link #firstTokenBudgetNanos}, but until the time at which the caller leaves. */
+  private long waitBudgetNanos(EntryRequest q, Attempt a) {
+    long past = q.request.waitLimitNanos() - q.request.firstTokenDeadlineNanos();
+    return firstTokenBudgetNanos(q, a) + (q.tokensSent > 0 ? 0 : past);
+  }
+
   /** Records the response time of an admitting node, unless the attempt is queued there already. */
   void recordResponse(Attempt a) {
     if (a.state == Attempt.State.ASKING) {
--- a/core/src/main/java/org/mustardlatch/core/routing/AttemptStarter.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/AttemptStarter.java
@@ -179,7 +179,9 @@
    */
   void requestRemoteHedge(EntryRequest q, Attempt a, long waitNanos) {
     long budget = q.request.firstTokenDeadlineNanos() - q.arrivedNanos;
-    boolean waitIsLong = waitNanos > settings.policyParameters().crossRegionWaitShare() * budget;
+    // The link between the regions is for requests that can be on time.
+    boolean waitIsLong =
+        budget > 0 && waitNanos > settings.policyParameters().crossRegionWaitShare() * budget;
     boolean isLocal = a == q.current && a.cell.region().equals(region);
     if (!waitIsLong || !isLocal || q.remoteCellContacted || q.hedge != null || q.tokensSent > 0) {
       return;
--- a/core/src/main/java/org/mustardlatch/core/routing/CellAdmission.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/CellAdmission.java
@@ -1,6 +1,7 @@
 package org.mustardlatch.core.routing;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -27,8 +28,9 @@
 import org.mustardlatch.core.quarantine.CrashEvidence.SuspicionLevel;
 
 /**
- * Admission to one cell on its admitting node: the reservations, the queue of waiting requests and
- * the observed state of the engines.
+ * Admission to one cell on its admitting node: grants requests in the order of the {@link
+ * AdmissionQueue} while engines have free capacity, and refuses at once those that are predicted to
+ * get none in time.
  */
 final class CellAdmission {
   /** Time for renewals and attempt lists of engines to arrive after a takeover of the cell. */
@@ -40,6 +42,12 @@
   // Every response carries a summary; in a burst it is not recomputed for each of them.
   private static final long MAX_SUMMARY_AGE_NANOS = 2_000_000;
 
+  // Requests of this many sizes, each up to twice as large as the one before, have shares.
+  private static final int SIZE_CLASSES = 4;
+  // Memory is held for a size that is granted less often than this multiple of the share of all.
+  private static final double LARGE_SHARE = 0.9;
+  // One engine in this many, and at least one, is held for a large request at the same time.
+  private static final int ENGINES_PER_HOLD = 2;
   // Requests at the head of the queue that are tried when the first one has no fitting engine.
   private static final int QUEUE_LOOKAHEAD = 4;
 
@@ -59,7 +67,9 @@
   private final ReservationTable reservations;
   private final EngineOutcomes outcomes;
   private final Map<UpstreamId, EngineState> engines = new LinkedHashMap<>();
-  private final FairQueue queue = new FairQueue();
+  private final AdmissionQueue queue = new AdmissionQueue();
+  private final GrantShares sizeShares = new GrantShares(SIZE_CLASSES, LARGE_SHARE);
+  private final List<DecodeMemoryHold> holds = new ArrayList<>();
   private final KvTransferLimiter transferLimiter = new KvTransferLimiter();
   private final DepartureRate departureRate = new DepartureRate();
   private Placer placer;
@@ -126,7 +136,7 @@
     CellSummary current = summary;
     if (current == null || now - summaryComputedNanos >= MAX_SUMMARY_AGE_NANOS) {
       int free = Math.max(0, forecast.freeDecodeCapacity(now) - queue.size());
-      current = new CellSummary(cell.name(), free, forecast.estimateWaitNanos(null, now));
+      current = new CellSummary(cell.name(), free, forecast.totalWaitNanos(now));
       summary = current;
       summaryComputedNanos = now;
     }
@@ -149,19 +159,33 @@
       return;
     }
     forecast.requestArrived(request);
+    queue.recordArrival(request, commands.now());
+    sizeShares.recordArrival(sizeClass(request), commands.now());
     if (evidence.suspicionLevel(request.fingerprint(), commands.now())
         == SuspicionLevel.QUARANTINED) {
       refuse(request, ErrorCode.REQUEST_QUARANTINED, Duration.ZERO);
       return;
     }
+    if (isLargerThanEveryEngine(request)) {
+      commands.explain(request.attempt().request(), "larger_than_engines", cell.name());
+      refuseOverloaded(request);
+      return;
+    }
     if (queue.size() > 0 && request.kvSource() == null) {
       enqueue(request);
       serveQueue();
       return;
     }
-    switch (tryGrant(request)) {
-      case GRANTED -> {}
-      case DEADLINE_UNREACHABLE -> refuseOverloaded(request);
+    switch (tryGrant(request, latestFirstTokenNanos(request))) {
+      case GRANTED -> {
+        queue.recordGrant(request);
+        sizeShares.recordGrant(sizeClass(request));
+        forecast.recordOnTimeGrant(commands.now());
+      }
+      case DEADLINE_UNREACHABLE -> {
+        enqueueLate(request);
+        serveQueue();
+      }
       case NO_CAPACITY -> {
         if (request.kvSource() != null) {
           // The KV cache may expire while the request waits. After a refusal, the entry node can
@@ -169,6 +193,7 @@
           refuseOverloaded(request);
         } else {
           enqueue(request);
+          serveQueue();
         }
       }
     }
@@ -288,9 +313,13 @@
     transferLimiter.decayEstimate(now);
     reservations.removeIf(r -> now >= r.expiresNanos);
     for (ReservationRequest request : queue.allRequests()) {
-      if (now >= request.firstTokenDeadlineNanos()) {
+      if (now >= request.waitLimitNanos()) {
         queue.remove(request.attempt());
         refuseOverloaded(request);
+      } else if (now >= request.firstTokenDeadlineNanos()
+          && !queue.isLate(request.attempt())
+          && holdOf(request) == null) {
+        deadlinePassed(request);
       }
     }
     serveQueue();
@@ -304,22 +333,33 @@
 
   /** Grants queued requests in fair order while engines have free capacity. */
   private void serveQueue() {
+    fillHolds();
     boolean progress = true;
     while (progress && queue.size() > 0 && placer.mayHaveCapacity(commands.now())) {
       progress = false;
-      for (ReservationRequest request : queue.nextRequests(QUEUE_LOOKAHEAD)) {
-        GrantResult result = tryGrant(request);
+      boolean first = true;
+      for (ReservationRequest request : nextWithoutHold()) {
+        boolean late = queue.isLate(request.attempt());
+        if (late && forecast.lateCapacity(commands.now()) <= 0) {
+          break;
+        }
+        GrantResult result =
+            tryGrant(request, late ? request.waitLimitNanos() : latestFirstTokenNanos(request));
         if (result == GrantResult.GRANTED) {
-          queue.removeServed(request.attempt());
+          served(request, late);
           progress = true;
           break;
         }
         if (result == GrantResult.DEADLINE_UNREACHABLE) {
-          queue.remove(request.attempt());
-          refuseOverloaded(request);
+          deadlinePassed(request);
+          progress = true;
+          break;
+        }
+        if (first && !late && request.mayBeLate() && startHold(request)) {
           progress = true;
           break;
         }
+        first = false;
       }
     }
     if (queue.size() > 0) {
@@ -328,8 +368,109 @@
     }
   }
 
-  /** Grants a request if a placement with free capacity meets its deadline. */
-  private GrantResult tryGrant(ReservationRequest request) {
+  /** Returns the next requests in service order for which no memory is held. */
+  private List<ReservationRequest> nextWithoutHold() {
+    List<ReservationRequest> next =
+        new ArrayList<>(queue.nextRequests(QUEUE_LOOKAHEAD + holds.size()));
+    next.removeIf(r -> holdOf(r) != null);
+    return next;
+  }
+
+  private void served(ReservationRequest request, boolean late) {
+    queue.removeServed(request.attempt());
+    queue.recordGrant(request);
+    sizeShares.recordGrant(sizeClass(request));
+    if (!late) {
+      forecast.recordOnTimeGrant(commands.now());
+    }
+  }
+
+  /** Moves a queued request that cannot be on time behind the others, or refuses it. */
+  private void deadlinePassed(ReservationRequest request) {
+    boolean wasLate = queue.isLate(request.attempt());
+    queue.remove(request.attempt());
+    if (wasLate) {
+      refuseOverloaded(request);
+    } else {
+      enqueueLate(request);
+    }
+  }
+
+  private @Nullable DecodeMemoryHold holdOf(ReservationRequest request) {
+    for (DecodeMemoryHold h : holds) {
+      if (h.request.attempt().equals(request.attempt())) {
+        return h;
+      }
+    }
+    return null;
+  }
+
+  /**
+   * Starts to hold memory for a request whose turn has come and that does not fit, if that is the
+   * reason for which it cannot be granted, requests of its size were granted less often than
+   * others, and few enough engines are held.
+   */
+  private boolean startHold(ReservationRequest request) {
+    if (!sizeShares.isBelowGuarantee(sizeClass(request))
+        || holds.size() >= Math.max(1, placer.decodeEngines().size() / ENGINES_PER_HOLD)) {
+      return false;
+    }
+    List<EngineState> candidates = new ArrayList<>(placer.decodeEngines());
+    holds.forEach(h -> candidates.remove(h.engine));
+    int pieces = request.decodeMemoryPieces(cell.model().memoryPieceTokens());
+    DecodeMemoryHold hold =
+        DecodeMemoryHold.start(request, candidates, pieces, unavailableUpstreams, commands.now());
+    if (hold == null) {
+      return false;
+    }
+    holds.add(hold);
+    commands.explain(request.attempt().request(), "memory_held", "on " + hold.engine.upstream.id());
+    return true;
+  }
+
+  /** Grants the requests whose held memory is complete and drops holds that are of no use. */
+  private void fillHolds() {
+    for (DecodeMemoryHold h : List.copyOf(holds)) {
+      boolean usable =
+          engines.get(h.engine.upstream.id()) == h.engine
+              && h.engine.isUsableSoon(unavailableUpstreams, commands.now());
+      if (!usable || !queue.contains(h.request.attempt())) {
+        h.release();
+        holds.remove(h);
+      } else if (h.fill()) {
+        h.release();
+        switch (tryGrant(h.request, h.request.waitLimitNanos())) {
+          case GRANTED -> {
+            holds.remove(h);
+            served(h.request, false);
+          }
+          case DEADLINE_UNREACHABLE -> {
+            holds.remove(h);
+            queue.remove(h.request.attempt());
+            refuseOverloaded(h.request);
+          }
+          case NO_CAPACITY -> h.fill();
+        }
+      }
+    }
+  }
+
+  /** Returns 0 for up to twice the average size, 1 for up to four times, and so on. */
+  private int sizeClass(ReservationRequest request) {
+    return Math.max(0, Math.getExponent(forecast.relativeSize(request)));
+  }
+
+  /** Returns whether no engine has the memory for a request, even when it is empty. */
+  private boolean isLargerThanEveryEngine(ReservationRequest request) {
+    int pieces = request.decodeMemoryPieces(cell.model().memoryPieceTokens());
+    List<EngineState> pool = placer.decodeEngines();
+    return !pool.isEmpty()
+        && pool.stream()
+            .allMatch(e -> e.upstream.memoryPieces() > 0 && e.upstream.memoryPieces() < pieces);
+  }
+
+  /** Grants a request if a placement with free capacity has its first token by {@code latest}. */
+  private GrantResult tryGrant(ReservationRequest request, long latest) {
     long now = commands.now();
     if (request.kvSource() == null && !transferLimiter.hasFreeCapacity()) {
       return GrantResult.NO_CAPACITY;
@@ -340,8 +481,7 @@
     if (p == null) {
       return GrantResult.NO_CAPACITY;
     }
-    if (now + p.firstTokenNanos() > latestFirstTokenNanos(request)
-        && !mayExceedDeadline(request, p)) {
+    if (now + p.firstTokenNanos() > latest && !mayExceedDeadline(request, p)) {
       return GrantResult.DEADLINE_UNREACHABLE;
     }
     grant(request, p, suspect);
@@ -420,15 +560,31 @@
 
   /** Queues a request, or refuses it if its first token is predicted after the deadline. */
   private void enqueue(ReservationRequest request) {
-    long wait = forecast.estimateWaitNanos(request, commands.now());
-    if (commands.now() + wait + forecast.shortestServiceNanos(request)
-        > latestFirstTokenNanos(request)) {
-      refuseOverloaded(request);
+    long now = commands.now();
+    long start = now + forecast.onTimeWaitNanos(request, now);
+    if (start + forecast.shortestServiceNanos(request) > latestFirstTokenNanos(request)) {
+      enqueueLate(request);
       return;
     }
     queue.add(request, settings.workspaceWeight(request.workspace()));
     sendQueued(request);
-    serveQueue();
+  }
+
+  /**
+   * Queues a request that cannot be on time behind those that can, or refuses it if its caller
+   * leaves before its predicted first token.
+   */
+  private void enqueueLate(ReservationRequest request) {
+    long now = commands.now();
+    long start = now + forecast.lateWaitNanos(request, now);
+    if (!request.mayBeLate()
+        || start + forecast.shortestServiceNanos(request) > request.waitLimitNanos()) {
+      refuseOverloaded(request);
+      return;
+    }
+    queue.addLate(request, settings.workspaceWeight(request.workspace()));
+    commands.explain(request.attempt().request(), "queued_late", cell.name());
+    sendQueued(request);
   }
 
   /** Refuses a request as overloaded, or as unavailable if no decode engine is usable. */
--- a/core/src/main/java/org/mustardlatch/core/routing/FairQueue.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/FairQueue.java
@@ -12,7 +12,8 @@
 
 /**
  * Start-time fair queueing (SFQ) of reservation requests: workspaces share the service by weight,
- * and the cost of a request is its number of prompt tokens.
+ * and the cost of a request is the KV memory that it occupies multiplied by the time. Both grow
+ * with its planned output, so the cost is the number of its tokens times its output tokens.
  */
 final class FairQueue {
   private static final Comparator<QueuedRequest> BY_START_TAG =
@@ -52,13 +53,18 @@
   void add(ReservationRequest request, double weight) {
     WorkspaceId workspace = request.workspace();
     double start = Math.max(virtualTime, lastFinishTag.getOrDefault(workspace, 0.0));
-    lastFinishTag.put(workspace, start + Math.max(1, request.promptTokens()) / weight);
+    lastFinishTag.put(workspace, start + cost(request) / weight);
     QueuedRequest queued = new QueuedRequest(request, start, arrivalCount++);
     byAttempt.put(request.attempt(), queued);
     byStartTag.add(queued);
     totalPromptTokens += request.promptTokens();
   }
 
+  private static double cost(ReservationRequest request) {
+    double tokens = (double) request.promptTokens() + request.maxOutputTokens();
+    return Math.max(1, tokens) * Math.max(1, request.maxOutputTokens());
+  }
+
   /** Returns the next requests in service order, at most {@code count}. */
   List<ReservationRequest> nextRequests(int count) {
     List<ReservationRequest> result = new ArrayList<>(count);
@@ -105,22 +111,24 @@
     return byStartTag.size();
   }
 
-  /** Returns the prompt tokens to be served before a new request of a workspace. */
-  long promptTokensAhead(WorkspaceId workspace) {
+  /** Returns the requests to be served before a new request of a workspace. */
+  AdmissionQueue.Backlog aheadOf(WorkspaceId workspace) {
     double start = Math.max(virtualTime, lastFinishTag.getOrDefault(workspace, 0.0));
-    long sum = 0;
+    int requests = 0;
+    long tokens = 0;
     for (QueuedRequest queued : byStartTag) {
       if (queued.startTag > start) {
         break;
       }
-      sum += queued.request.promptTokens();
+      requests++;
+      tokens += queued.request.promptTokens();
     }
-    return sum;
+    return new AdmissionQueue.Backlog(requests, tokens);
   }
 
-  /** Returns the prompt tokens of all requests in the queue. */
-  long queuedPromptTokens() {
-    return totalPromptTokens;
+  /** Returns the number and the prompt tokens of all requests in the queue. */
+  AdmissionQueue.Backlog all() {
+    return new AdmissionQueue.Backlog(size(), totalPromptTokens);
   }
 
   /** Returns all requests in service order. */
--- a/core/src/main/java/org/mustardlatch/core/routing/GenerationRequest.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/GenerationRequest.java
@@ -28,6 +28,8 @@
  * @param endsAtMaxOutput whether a generation that breaks off after {@code maxOutputTokens} is
  *     complete; false if only the end of an engine's response tells that nothing is missing
  * @param rank urgency, from 0 for the most urgent to 9
+ * @param waitLimitNanos monotonic time until which the caller waits for its first token; not before
+ *     {@code firstTokenDeadlineNanos}
  */
 public record GenerationRequest(
     RequestId id,
@@ -45,17 +47,62 @@
     int plannedOutputTokens,
     List<Fingerprint> promptParts,
     boolean endsAtMaxOutput,
-    int rank) {
+    int rank,
+    long waitLimitNanos) {
   /** Rank of a request that states none, as engines assume it. */
   public static final int DEFAULT_RANK = 5;
 
-  /** Copies the lists and checks {@code maxRuns}. */
+  /** The rank of the least urgent requests. */
+  public static final int LEAST_URGENT_RANK = 9;
+
+  /** Copies the lists and checks {@code maxRuns} and {@code waitLimitNanos}. */
   public GenerationRequest {
     prefixBlocks = List.copyOf(prefixBlocks);
     promptParts = List.copyOf(promptParts);
     if (maxRuns < 1) {
       throw new IllegalArgumentException("maxRuns must be at least 1, got " + maxRuns);
     }
+    if (waitLimitNanos < firstTokenDeadlineNanos) {
+      throw new IllegalArgumentException("waitLimitNanos is before the first-token deadline");
+    }
+  }
+
+  /** Creates a request that is of no use after its first-token deadline. */
+  public GenerationRequest(
+      RequestId id,
+      WorkspaceId workspace,
+      ModelId model,
+      int promptTokens,
+      int maxOutputTokens,
+      int promptBytes,
+      List<Long> prefixBlocks,
+      Fingerprint fingerprint,
+      long firstTokenDeadlineNanos,
+      long finalDeadlineNanos,
+      boolean resumable,
+      int maxRuns,
+      int plannedOutputTokens,
+      List<Fingerprint> promptParts,
+      boolean endsAtMaxOutput,
+      int rank) {
+    this(
+        id,
+        workspace,
+        model,
+        promptTokens,
+        maxOutputTokens,
+        promptBytes,
+        prefixBlocks,
+        fingerprint,
+        firstTokenDeadlineNanos,
+        finalDeadlineNanos,
+        resumable,
+        maxRuns,
+        plannedOutputTokens,
+        promptParts,
+        endsAtMaxOutput,
+        rank,
+        firstTokenDeadlineNanos);
   }
 
   /**
@@ -110,6 +157,7 @@
         plannedOutputTokens,
         parts,
         endsAtMaxOutput,
-        rank);
+        rank,
+        waitLimitNanos);
   }
 }
--- a/core/src/main/java/org/mustardlatch/core/routing/PauseRecovery.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/PauseRecovery.java
@@ -70,7 +70,7 @@
       }
       q.generationRuns += runs;
       commands.explain(q.request.id(), "fenced", "this node was paused");
-      boolean expired = q.tokensSent == 0 && commands.now() >= q.request.firstTokenDeadlineNanos();
+      boolean expired = q.tokensSent == 0 && commands.now() >= q.request.waitLimitNanos();
       if (expired) {
         callbacks.refuse(
             q, ErrorCode.DEADLINE_EXCEEDED, "the node was paused", RequestCoordinator.RETRY_AFTER);
--- a/core/src/main/java/org/mustardlatch/core/routing/RequestCoordinator.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/RequestCoordinator.java
@@ -478,9 +478,7 @@
   private void retry(EntryRequest q, Failure failure) {
     long now = commands.now();
     boolean inTime =
-        q.tokensSent > 0
-            ? now < q.request.finalDeadlineNanos()
-            : now < q.request.firstTokenDeadlineNanos();
+        q.tokensSent > 0 ? now < q.request.finalDeadlineNanos() : now < q.request.waitLimitNanos();
     if (!inTime) {
       refuse(q, ErrorCode.DEADLINE_EXCEEDED, "failed too late to retry: " + failure, RETRY_AFTER);
     } else if (q.attemptCount() >= MAX_ATTEMPTS || !retryBudget.tryAcquire()) {
@@ -572,10 +570,10 @@
   private void checkQueued(EntryRequest q, Attempt a) {
     long now = commands.now();
     if (q.tokensSent == 0
-        && now >= q.request.firstTokenDeadlineNanos()
+        && now >= q.request.waitLimitNanos()
         && !StalledStreamMover.isReplacement(q, a)) {
       commands.explain(
-          q.request.id(), "queue_too_long", "first-token deadline passed in the queue");
+          q.request.id(), "queue_too_long", "the wait limit of the caller passed in the queue");
       Duration retryAfter = retryAfterJitter.draw(now - q.arrivedNanos, now - q.arrivedNanos);
       refuse(q, ErrorCode.OVERLOADED, "no engine became free in time", retryAfter);
     } else if (a.lastRequestNanos > a.lastProgressNanos
--- a/core/src/main/java/org/mustardlatch/core/routing/ReservationRequest.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/ReservationRequest.java
@@ -23,6 +23,8 @@
  * @param excludedUpstreams engines that already failed the request; used only if no other engine of
  *     their pool is usable
  * @param rank urgency, from 0 for the most urgent to 9
+ * @param waitLimitNanos time until which the caller waits for its first token, which may be after
+ *     that deadline; monotonic time of this node
  */
 record ReservationRequest(
     AttemptId attempt,
@@ -36,7 +38,38 @@
     long firstTokenDeadlineNanos,
     long budgetNanos,
     List<UpstreamId> excludedUpstreams,
-    int rank) {
+    int rank,
+    long waitLimitNanos) {
+
+  /** Creates a request that is of no use after its first-token deadline. */
+  ReservationRequest(
+      AttemptId attempt,
+      HostId requester,
+      WorkspaceId workspace,
+      int promptTokens,
+      int maxOutputTokens,
+      List<Long> prefixBlocks,
+      Fingerprint fingerprint,
+      @Nullable UpstreamId kvSource,
+      long firstTokenDeadlineNanos,
+      long budgetNanos,
+      List<UpstreamId> excludedUpstreams,
+      int rank) {
+    this(
+        attempt,
+        requester,
+        workspace,
+        promptTokens,
+        maxOutputTokens,
+        prefixBlocks,
+        fingerprint,
+        kvSource,
+        firstTokenDeadlineNanos,
+        budgetNanos,
+        excludedUpstreams,
+        rank,
+        firstTokenDeadlineNanos);
+  }
 
   static ReservationRequest of(Reserve r, HostId from, long now) {
     return new ReservationRequest(
@@ -51,7 +84,8 @@
         now + r.firstTokenBudgetNanos(),
         r.firstTokenBudgetNanos(),
         r.excluded(),
-        r.rank());
+        r.rank(),
+        now + Math.max(r.firstTokenBudgetNanos(), r.waitBudgetNanos()));
   }
 
   static ReservationRequest of(ReserveDecode r, HostId from, long now) {
@@ -70,6 +104,11 @@
         r.rank());
   }
 
+  /** Returns whether a first token after the deadline is still of use to the caller. */
+  boolean mayBeLate() {
+    return waitLimitNanos > firstTokenDeadlineNanos;
+  }
+
   /** Returns the KV memory of the prompt, in pieces of {@code pieceTokens} tokens. */
   int prefillMemoryPieces(int pieceTokens) {
     return Math.ceilDiv(promptTokens, pieceTokens);
--- a/core/src/test/java/org/mustardlatch/core/routing/FairQueueTest.java
+++ b/core/src/test/java/org/mustardlatch/core/routing/FairQueueTest.java
@@ -69,11 +69,11 @@
   void countsQueuedTokensWithoutRemovedRequests() {
     queue.add(request("a", 1), 1);
     queue.add(request("a", 2), 1);
-    assertThat(queue.queuedPromptTokens()).isEqualTo(2000);
+    assertThat(queue.all().promptTokens()).isEqualTo(2000);
 
     queue.remove(request("a", 1).attempt());
     queue.remove(request("a", 1).attempt());
-    assertThat(queue.queuedPromptTokens()).isEqualTo(1000);
+    assertThat(queue.all().promptTokens()).isEqualTo(1000);
     assertThat(queue.contains(request("a", 1).attempt())).isFalse();
   }
 }
--- a/gateway/src/main/java/org/mustardlatch/gateway/FleetManifest.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/FleetManifest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.regex.Pattern;
 import org.jspecify.annotations.Nullable;
 import org.mustardlatch.core.manifest.CrossRegionLink;
 import org.mustardlatch.core.manifest.LedgerPolicy;
@@ -58,6 +59,8 @@
   // smaller share of the capacity than those that can still meet the target.
   private static final double LATE_WORKSPACE_WEIGHT = 0.5;
 
+  private static final Pattern VALID_NAME = Pattern.compile("[a-z0-9][a-z0-9._-]{0,62}");
+
   private FleetManifest() {}
 
   /** Returns a manifest of all engines, or null if no configuration has been received yet. */
@@ -138,6 +141,20 @@
         i.leaving());
   }
 
+  /**
+   * Returns the identifier of a workspace for fair queueing. A name that is not valid as an
+   * identifier is replaced by its digest.
+   */
+  static WorkspaceId workspaceId(String name) {
+    return new WorkspaceId(
+        VALID_NAME.matcher(name).matches()
+            ? name
+            : Hashing.sha256()
+                .hashString(name, StandardCharsets.UTF_8)
+                .toString()
+                .substring(0, 40));
+  }
+
   /** Returns the model name of a service in the manifest. */
   static String modelName(String service) {
     return service.toLowerCase(Locale.ROOT);
--- a/gateway/src/main/java/org/mustardlatch/gateway/GenerationRequestHandler.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/GenerationRequestHandler.java
@@ -22,6 +22,7 @@
 import org.mustardlatch.core.routing.RoutingCommand;
 import org.mustardlatch.core.routing.RoutingEvent;
 import org.mustardlatch.core.time.TimerService;
+import org.mustardlatch.gateway.config.GatewayConfiguration;
 import org.mustardlatch.gateway.http.BufferedResponse;
 import org.mustardlatch.gateway.http.CallerExchange;
 import org.mustardlatch.gateway.log.EventLog;
@@ -44,6 +45,15 @@
   // this fraction is accepted rather than refused.
   private static final double PREDICTION_SLACK = 0.25;
 
+  /** Workspace of requests without one of their own, where requests have ranks or workspaces. */
+  private static final WorkspaceId SHARED = new WorkspaceId("shared");
+
+  // Callers leave a stream whose first event has not arrived after the longest of these: a fixed
+  // time, a multiple of the latency target, and a multiple of the allowed gap between events.
+  private static final long MIN_CALLER_WAIT_NANOS = 2_000_000_000L;
+  private static final int CALLER_WAIT_TARGETS = 4;
+  private static final int CALLER_WAIT_GAPS = 8;
+
   // A prefill and the transfer of its KV cache take at least this long.
   private static final long MIN_FIRST_TOKEN_NANOS = 150_000_000;
 
@@ -167,22 +177,28 @@
     long target = exchange.route().latencyTarget().toNanos();
     long targetTime = received + target - exchange.earlierWaitNanos();
     boolean late = targetTime - timers.nanos() < MIN_FIRST_TOKEN_NANOS;
+    boolean waitsWhenLate = mayWaitWhenLate(exchange);
     long firstTokenDeadline =
-        late
+        late && !waitsWhenLate
             ? timers.nanos() + (long) (LATE_REQUEST_WAIT_FACTOR * target)
             : targetTime + (long) (PREDICTION_SLACK * target);
+    firstTokenDeadline = Math.min(exchange.deadlineNanos(), firstTokenDeadline);
+    long waitLimit =
+        waitsWhenLate
+            ? Math.max(firstTokenDeadline, callerWaitLimitNanos(exchange))
+            : firstTokenDeadline;
     List<Fingerprint> parts = exchange.sharedPromptParts();
     GenerationRequest request =
         new GenerationRequest(
             new RequestId(exchange.localId()),
-            late ? LATE : IN_TIME,
+            workspace(exchange, waitsWhenLate, late),
             new ModelId(FleetManifest.modelName(exchange.service().name())),
             Math.max(1, metadata.promptTokens()),
             Math.max(1, metadata.maxOutputTokens()),
             exchange.caller().body().length,
             FleetManifest.prefixBlocks(metadata),
             exchange.fingerprint(),
-            Math.min(exchange.deadlineNanos(), firstTokenDeadline),
+            firstTokenDeadline,
             exchange.deadlineNanos(),
             exchange.route().repeatable(),
             exchange.route().maxAttempts(),
@@ -190,7 +206,8 @@
             parts,
             // Callers need not state their output, and it is not the number of events.
             false,
-            exchange.rank().orElse(GenerationRequest.DEFAULT_RANK));
+            exchange.rank().orElse(GenerationRequest.DEFAULT_RANK),
+            waitLimit);
     EventLog.log(
         LogEvent.GENERATION_ARRIVED,
         exchange.callerRequestId(),
@@ -208,6 +225,37 @@
     runner.handle(new RoutingEvent.RequestArrived(request));
   }
 
+  /**
+   * Returns whether a request that cannot be on time waits for capacity as long as its caller does.
+   * Deployments without ranks and workspaces keep two workspaces for requests that can be on time
+   * and those that cannot.
+   */
+  private boolean mayWaitWhenLate(RoutedExchange exchange) {
+    GatewayConfiguration c = fleet.configuration();
+    return exchange.rank().isPresent() || (c != null && c.hasWorkspaces());
+  }
+
+  private static WorkspaceId workspace(
+      RoutedExchange exchange, boolean waitsWhenLate, boolean late) {
+    CallerIdentity identity = exchange.identity();
+    if (!waitsWhenLate) {
+      return late ? LATE : IN_TIME;
+    }
+    String name = identity == null ? null : identity.workspace();
+    return name == null ? SHARED : FleetManifest.workspaceId(name);
+  }
+
+  /** Returns the time at which the caller leaves if no first event has arrived. */
+  private static long callerWaitLimitNanos(RoutedExchange exchange) {
+    long wait =
+        Math.max(
+            MIN_CALLER_WAIT_NANOS,
+            Math.max(
+                CALLER_WAIT_TARGETS * exchange.route().latencyTarget().toNanos(),
+                CALLER_WAIT_GAPS * exchange.route().eventGapTarget().toNanos()));
+    return Math.min(exchange.deadlineNanos(), exchange.caller().receivedNanos() + wait);
+  }
+
   /** Returns the names of the first parts of a prompt for the log, as decisions about them have. */
   private static String describe(List<Fingerprint> parts) {
     return parts.stream()
@@ -322,11 +370,14 @@
     if (failed != null && !s.exchange.caller().responseStarted()) {
       s.exchange.sendResponse(failed, "last_server_error");
     } else {
+      // Engines refuse a prompt that is larger than their memory like any other while they are
+      // full.
+      boolean tooLong = c.code() == ErrorCode.PROMPT_TOO_LONG;
       Duration retryAfter = c.retryAfter();
       s.exchange.fail(
-          c.code(),
+          tooLong ? ErrorCode.OVERLOADED : c.code(),
           c.detail(),
-          retryAfter.isZero()
+          retryAfter.isZero() && !tooLong
               ? retryAfter
               : RetryLimits.retryAfter(s.exchange, timers.nanos(), random));
     }
--- a/wire/src/main/java/org/mustardlatch/wire/AdmissionCodec.java
+++ b/wire/src/main/java/org/mustardlatch/wire/AdmissionCodec.java
@@ -124,6 +124,7 @@
         .setFinalBudgetNanos(m.finalBudgetNanos())
         .addAllExcluded(m.excluded().stream().map(UpstreamId::value).toList())
         .setRank(m.rank())
+        .setWaitBudgetNanos(m.waitBudgetNanos())
         .build();
   }
 
@@ -140,7 +141,8 @@
         m.getFirstTokenBudgetNanos(),
         m.getFinalBudgetNanos(),
         m.getExcludedList().stream().map(UpstreamId::new).toList(),
-        m.hasRank() ? m.getRank() : GenerationRequest.DEFAULT_RANK);
+        m.hasRank() ? m.getRank() : GenerationRequest.DEFAULT_RANK,
+        m.hasWaitBudgetNanos() ? m.getWaitBudgetNanos() : m.getFirstTokenBudgetNanos());
   }
 
   private static PeerProto.ReserveDecode reserveDecode(AdmissionMessage.ReserveDecode m) {
--- a/wire/src/test/java/org/mustardlatch/wire/PeerCodecTest.java
+++ b/wire/src/test/java/org/mustardlatch/wire/PeerCodecTest.java
@@ -112,7 +112,8 @@
             900_000_000L,
             -1L,
             List.of(UPSTREAM),
-            0),
+            0,
+            3_200_000_000L),
         new AdmissionMessage.ReserveDecode(
             ATTEMPT,
             "cell-7",
--- a/wire/src/test/java/org/mustardlatch/wire/bench/BenchMessages.java
+++ b/wire/src/test/java/org/mustardlatch/wire/bench/BenchMessages.java
@@ -34,7 +34,8 @@
         850_000_000L,
         60_000_000_000L,
         List.of(),
-        2);
+        2,
+        3_400_000_000L);
   }
 
   static ReserveGranted granted(Reserve m) {
