--- a/core/src/main/java/org/mustardlatch/core/routing/CellAdmission.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/CellAdmission.java
@@ -14,10 +14,8 @@
 import org.mustardlatch.core.error.ErrorCode;
 import org.mustardlatch.core.manifest.Upstream;
 import org.mustardlatch.core.model.AttemptId;
-import org.mustardlatch.core.model.Fingerprint;
 import org.mustardlatch.core.model.HostId;
 import org.mustardlatch.core.model.UpstreamId;
-import org.mustardlatch.core.model.WorkspaceId;
 import org.mustardlatch.core.peer.AdmissionMessage.CellSummary;
 import org.mustardlatch.core.peer.AdmissionMessage.Outcome;
 import org.mustardlatch.core.peer.AdmissionMessage.ReservationRelease;
@@ -30,8 +28,9 @@
 import org.mustardlatch.core.quarantine.CrashEvidence.SuspicionLevel;
 
 /**
- * Admission to one cell on its admitting node: the reservations, the queue of waiting requests and
- * the observed state of the engines.
+ * Admission to one cell on its admitting node: grants requests in the order of the {@link
+ * AdmissionQueue} while engines have free capacity, and refuses at once those that are predicted to
+ * get none in time.
  */
 final class CellAdmission {
   /** Time for renewals and attempt lists of engines to arrive after a takeover of the cell. */
@@ -40,22 +39,17 @@
   /** Time that a reservation lasts beyond the predicted first token, nanoseconds. */
   static final long GRANT_MARGIN_NANOS = 2_000_000_000L;
 
-  /** Time to live of a reservation after each renewal, in any stage, nanoseconds. */
-  static final long RENEWED_RESERVATION_NANOS = 20_000_000_000L;
-
   // Every response carries a summary; in a burst it is not recomputed for each of them.
   private static final long MAX_SUMMARY_AGE_NANOS = 2_000_000;
 
+  // Requests of this many sizes, each up to twice as large as the one before, have shares.
+  private static final int SIZE_CLASSES = 4;
+  // Memory is held for a size that is granted less often than this multiple of the share of all.
+  private static final double LARGE_SHARE = 0.9;
+  // One engine in this many, and at least one, is held for a large request at the same time.
+  private static final int ENGINES_PER_HOLD = 2;
   // Requests at the head of the queue that are tried when the first one has no fitting engine.
   private static final int QUEUE_LOOKAHEAD = 4;
-  // A blocked engine gets no new work for this time after a crash or a refusal.
-  private static final long CRASH_BLOCK_NANOS = 3_000_000_000L;
-  private static final long REFUSAL_BLOCK_NANOS = 150_000_000L;
-  // Averages the request size over about the last ten requests.
-  private static final double NEWEST_SIZE_WEIGHT = 0.1;
-  // Departures per slot and second that are assumed until departures have been observed: a request
-  // occupies a slot for about 10 s.
-  private static final double INITIAL_DEPARTURES_PER_SLOT = 0.1;
 
   /** Collaborators that the cells of a node and its {@link RequestCoordinator} share. */
   record Environment(
@@ -70,21 +64,22 @@
   private final CrashEvidence evidence;
   private final NodeSettings settings;
   private final RetryAfterJitter retryAfterJitter;
-  private final CrashListener crashListener;
+  private final ReservationTable reservations;
+  private final EngineOutcomes outcomes;
   private final Map<UpstreamId, EngineState> engines = new LinkedHashMap<>();
-  private final Map<AttemptId, Reservation> reservations = new HashMap<>();
-  private final FairQueue queue = new FairQueue();
+  private final AdmissionQueue queue = new AdmissionQueue();
+  private final GrantShares sizeShares = new GrantShares(SIZE_CLASSES, LARGE_SHARE);
+  private final List<DecodeMemoryHold> holds = new ArrayList<>();
   private final KvTransferLimiter transferLimiter = new KvTransferLimiter();
   private final DepartureRate departureRate = new DepartureRate();
   private Placer placer;
+  private final CapacityForecast forecast;
   private final UnavailableUpstreams unavailableUpstreams;
   private final UpstreamLimits upstreamLimits;
   private final long handoverUntilNanos;
   private @Nullable CellSummary summary;
   private long summaryComputedNanos;
   private long lastActivityNanos;
-  // KV memory of prompt and output, averaged over recent requests; 0 before the first one.
-  private double averageRequestPieces;
 
   CellAdmission(
       Cell cell,
@@ -96,10 +91,18 @@
     this.evidence = env.evidence();
     this.settings = env.settings();
     this.retryAfterJitter = new RetryAfterJitter(env.random());
-    this.crashListener = crashListener;
+    this.reservations =
+        new ReservationTable(
+            commands,
+            () -> this.cell.model().tokenGapTarget().toNanos(),
+            transferLimiter,
+            departureRate);
+    this.outcomes = new EngineOutcomes(commands, reservations, transferLimiter, crashListener);
     this.unavailableUpstreams = unavailableUpstreams;
     this.upstreamLimits = env.upstreamLimits();
     this.placer = createPlacer(cell);
+    this.forecast =
+        new CapacityForecast(queue, transferLimiter, departureRate, cell.model(), placer);
     this.handoverUntilNanos = commands.now() + HANDOVER_NANOS;
     this.lastActivityNanos = commands.now();
   }
@@ -109,7 +112,7 @@
   }
 
   boolean isIdle() {
-    return reservations.isEmpty() && queue.size() == 0;
+    return reservations.size() == 0 && queue.size() == 0;
   }
 
   long lastActivityNanos() {
@@ -132,8 +135,8 @@
     long now = commands.now();
     CellSummary current = summary;
     if (current == null || now - summaryComputedNanos >= MAX_SUMMARY_AGE_NANOS) {
-      int free = Math.max(0, freeDecodeCapacity() - queue.size());
-      current = new CellSummary(cell.name(), free, estimateWaitNanos(null));
+      int free = Math.max(0, forecast.freeDecodeCapacity(now) - queue.size());
+      current = new CellSummary(cell.name(), free, forecast.totalWaitNanos(now));
       summary = current;
       summaryComputedNanos = now;
     }
@@ -155,20 +158,34 @@
       sendQueued(request);
       return;
     }
-    updateAverageSize(request);
+    forecast.requestArrived(request);
+    queue.recordArrival(request, commands.now());
+    sizeShares.recordArrival(sizeClass(request), commands.now());
     if (evidence.suspicionLevel(request.fingerprint(), commands.now())
         == SuspicionLevel.QUARANTINED) {
       refuse(request, ErrorCode.REQUEST_QUARANTINED, Duration.ZERO);
       return;
     }
+    if (isLargerThanEveryEngine(request)) {
+      commands.explain(request.attempt().request(), "larger_than_engines", cell.name());
+      refuseOverloaded(request);
+      return;
+    }
     if (queue.size() > 0 && request.kvSource() == null) {
       enqueue(request);
       serveQueue();
       return;
     }
-    switch (tryGrant(request)) {
-      case GRANTED -> {}
-      case DEADLINE_UNREACHABLE -> refuseOverloaded(request);
+    switch (tryGrant(request, latestFirstTokenNanos(request))) {
+      case GRANTED -> {
+        queue.recordGrant(request);
+        sizeShares.recordGrant(sizeClass(request));
+        forecast.recordOnTimeGrant(commands.now());
+      }
+      case DEADLINE_UNREACHABLE -> {
+        enqueueLate(request);
+        serveQueue();
+      }
       case NO_CAPACITY -> {
         if (request.kvSource() != null) {
           // The KV cache may expire while the request waits. After a refusal, the entry node can
@@ -176,6 +193,7 @@
           refuseOverloaded(request);
         } else {
           enqueue(request);
+          serveQueue();
         }
       }
     }
@@ -184,9 +202,7 @@
   /** Removes an attempt from the queue and frees its reservation. */
   void withdraw(AttemptId attempt) {
     queue.remove(attempt);
-    Reservation r = reservations.remove(attempt);
-    if (r != null) {
-      freeReservation(r, false);
+    if (reservations.remove(attempt, false) != null) {
       serveQueue();
     }
   }
@@ -194,28 +210,17 @@
   /** Extends or adopts a reservation and updates the engine estimates with its progress. */
   void renew(HostId from, ReservationRenew renew) {
     Reservation r = reservations.get(renew.attempt());
+    EngineState e = engines.get(renew.upstream());
     if (r == null) {
-      adoptReservation(from, renew);
+      if (e != null) {
+        reservations.adopt(from, renew, e);
+      }
       return;
     }
-    if (r.kvSource == null) {
-      moveAdoptedReservation(r, renew);
+    if (r.kvSource == null && e != null) {
+      ReservationTable.moveAdopted(r, e);
     }
-    if (renew.stage() == Stage.TRANSFER && r.stage == Stage.PREFILL) {
-      if (r.prefillEngine != null) {
-        r.prefillEngine.failureCount = 0;
-      }
-      endPrefill(r, true);
-      enterStage(r, Stage.TRANSFER);
-    } else if (renew.stage() == Stage.DECODE && r.stage != Stage.DECODE) {
-      endTransfer(r, true);
-      enterStage(r, Stage.DECODE);
-      r.tokensUpdatedNanos = commands.now();
-      r.tokensSoFar = renew.tokensSoFar();
-    } else if (renew.stage() == Stage.DECODE) {
-      recordTokenProgress(r, renew.tokensSoFar());
-    }
-    r.expiresNanos = commands.now() + RENEWED_RESERVATION_NANOS;
+    reservations.renew(r, renew);
     serveQueue();
   }
 
@@ -225,12 +230,9 @@
     Reservation r = reservations.get(release.attempt());
     EngineState e = engines.get(release.upstream());
     if (e != null) {
-      recordOutcome(e, r, release.outcome());
-    }
-    if (r != null) {
-      reservations.remove(release.attempt());
-      freeReservation(r, release.outcome() == Outcome.FINISHED);
+      outcomes.record(e, r, release.outcome());
     }
+    reservations.remove(release.attempt(), release.outcome() == Outcome.FINISHED);
     lastActivityNanos = commands.now();
     serveQueue();
   }
@@ -251,7 +253,7 @@
     }
     int unreserved = 0;
     Set<String> reserved = new HashSet<>();
-    for (Reservation r : reservations.values()) {
+    for (Reservation r : reservations.all()) {
       if (r.prefillEngine == e || r.decodeEngine == e) {
         reserved.add(r.attempt.toString());
       }
@@ -270,6 +272,7 @@
     if (!next.equals(cell)) {
       cell = next;
       placer = createPlacer(next);
+      forecast.cellChanged(next.model(), placer);
     }
   }
 
@@ -291,12 +294,7 @@
 
   /** Drops reservations and queued requests of nodes that are dead or removed. */
   void removeReservationsOfDeadNodes(Predicate<HostId> alive) {
-    for (Reservation r : new ArrayList<>(reservations.values())) {
-      if (!alive.test(r.requester)) {
-        reservations.remove(r.attempt);
-        freeReservation(r, false);
-      }
-    }
+    reservations.removeIf(r -> !alive.test(r.requester));
     for (ReservationRequest request : queue.allRequests()) {
       if (!alive.test(request.requester())) {
         queue.remove(request.attempt());
@@ -313,16 +311,15 @@
     long now = commands.now();
     placer.decayIdleEstimates(now);
     transferLimiter.decayEstimate(now);
-    for (Reservation r : new ArrayList<>(reservations.values())) {
-      if (now >= r.expiresNanos) {
-        reservations.remove(r.attempt);
-        freeReservation(r, false);
-      }
-    }
+    reservations.removeIf(r -> now >= r.expiresNanos);
     for (ReservationRequest request : queue.allRequests()) {
-      if (now >= request.firstTokenDeadlineNanos()) {
+      if (now >= request.waitLimitNanos()) {
         queue.remove(request.attempt());
         refuseOverloaded(request);
+      } else if (now >= request.firstTokenDeadlineNanos()
+          && !queue.isLate(request.attempt())
+          && holdOf(request) == null) {
+        deadlinePassed(request);
       }
     }
     serveQueue();
@@ -336,22 +333,33 @@
 
   /** Grants queued requests in fair order while engines have free capacity. */
   private void serveQueue() {
+    fillHolds();
     boolean progress = true;
     while (progress && queue.size() > 0 && placer.mayHaveCapacity(commands.now())) {
       progress = false;
-      for (ReservationRequest request : queue.nextRequests(QUEUE_LOOKAHEAD)) {
-        GrantResult result = tryGrant(request);
+      boolean first = true;
+      for (ReservationRequest request : nextWithoutHold()) {
+        boolean late = queue.isLate(request.attempt());
+        if (late && forecast.lateCapacity(commands.now()) <= 0) {
+          break;
+        }
+        GrantResult result =
+            tryGrant(request, late ? request.waitLimitNanos() : latestFirstTokenNanos(request));
         if (result == GrantResult.GRANTED) {
-          queue.removeServed(request.attempt());
+          served(request, late);
           progress = true;
           break;
         }
         if (result == GrantResult.DEADLINE_UNREACHABLE) {
-          queue.remove(request.attempt());
-          refuseOverloaded(request);
+          deadlinePassed(request);
           progress = true;
           break;
         }
+        if (first && !late && request.mayBeLate() && startHold(request)) {
+          progress = true;
+          break;
+        }
+        first = false;
       }
     }
     if (queue.size() > 0) {
@@ -360,8 +368,109 @@
     }
   }
 
-  /** Grants a request if a placement with free capacity meets its deadline. */
-  private GrantResult tryGrant(ReservationRequest request) {
+  /** Returns the next requests in service order for which no memory is held. */
+  private List<ReservationRequest> nextWithoutHold() {
+    List<ReservationRequest> next =
+        new ArrayList<>(queue.nextRequests(QUEUE_LOOKAHEAD + holds.size()));
+    next.removeIf(r -> holdOf(r) != null);
+    return next;
+  }
+
+  private void served(ReservationRequest request, boolean late) {
+    queue.removeServed(request.attempt());
+    queue.recordGrant(request);
+    sizeShares.recordGrant(sizeClass(request));
+    if (!late) {
+      forecast.recordOnTimeGrant(commands.now());
+    }
+  }
+
+  /** Moves a queued request that cannot be on time behind the others, or refuses it. */
+  private void deadlinePassed(ReservationRequest request) {
+    boolean wasLate = queue.isLate(request.attempt());
+    queue.remove(request.attempt());
+    if (wasLate) {
+      refuseOverloaded(request);
+    } else {
+      enqueueLate(request);
+    }
+  }
+
+  private @Nullable DecodeMemoryHold holdOf(ReservationRequest request) {
+    for (DecodeMemoryHold h : holds) {
+      if (h.request.attempt().equals(request.attempt())) {
+        return h;
+      }
+    }
+    return null;
+  }
+
+  /**
+   * Starts to hold memory for a request whose turn has come and that does not fit, if that is the
+   * reason for which it cannot be granted, requests of its size were granted less often than
+   * others, and few enough engines are held.
+   */
+  private boolean startHold(ReservationRequest request) {
+    if (!sizeShares.isBelowGuarantee(sizeClass(request))
+        || holds.size() >= Math.max(1, placer.decodeEngines().size() / ENGINES_PER_HOLD)) {
+      return false;
+    }
+    List<EngineState> candidates = new ArrayList<>(placer.decodeEngines());
+    holds.forEach(h -> candidates.remove(h.engine));
+    int pieces = request.decodeMemoryPieces(cell.model().memoryPieceTokens());
+    DecodeMemoryHold hold =
+        DecodeMemoryHold.start(request, candidates, pieces, unavailableUpstreams, commands.now());
+    if (hold == null) {
+      return false;
+    }
+    holds.add(hold);
+    commands.explain(request.attempt().request(), "memory_held", "on " + hold.engine.upstream.id());
+    return true;
+  }
+
+  /** Grants the requests whose held memory is complete and drops holds that are of no use. */
+  private void fillHolds() {
+    for (DecodeMemoryHold h : List.copyOf(holds)) {
+      boolean usable =
+          engines.get(h.engine.upstream.id()) == h.engine
+              && h.engine.isUsableSoon(unavailableUpstreams, commands.now());
+      if (!usable || !queue.contains(h.request.attempt())) {
+        h.release();
+        holds.remove(h);
+      } else if (h.fill()) {
+        h.release();
+        switch (tryGrant(h.request, h.request.waitLimitNanos())) {
+          case GRANTED -> {
+            holds.remove(h);
+            served(h.request, false);
+          }
+          case DEADLINE_UNREACHABLE -> {
+            holds.remove(h);
+            queue.remove(h.request.attempt());
+            refuseOverloaded(h.request);
+          }
+          case NO_CAPACITY -> h.fill();
+        }
+      }
+    }
+  }
+
+  /** Returns 0 for up to twice the average size, 1 for up to four times, and so on. */
+  private int sizeClass(ReservationRequest request) {
+    return Math.max(0, Math.getExponent(forecast.relativeSize(request)));
+  }
+
+  /** Returns whether no engine has the memory for a request, even when it is empty. */
+  private boolean isLargerThanEveryEngine(ReservationRequest request) {
+    int pieces = request.decodeMemoryPieces(cell.model().memoryPieceTokens());
+    List<EngineState> pool = placer.decodeEngines();
+    return !pool.isEmpty()
+        && pool.stream()
+            .allMatch(e -> e.upstream.memoryPieces() > 0 && e.upstream.memoryPieces() < pieces);
+  }
+
+  /** Grants a request if a placement with free capacity has its first token by {@code latest}. */
+  private GrantResult tryGrant(ReservationRequest request, long latest) {
     long now = commands.now();
     if (request.kvSource() == null && !transferLimiter.hasFreeCapacity()) {
       return GrantResult.NO_CAPACITY;
@@ -372,8 +481,7 @@
     if (p == null) {
       return GrantResult.NO_CAPACITY;
     }
-    if (now + p.firstTokenNanos() > latestFirstTokenNanos(request)
-        && !mayExceedDeadline(request, p)) {
+    if (now + p.firstTokenNanos() > latest && !mayExceedDeadline(request, p)) {
       return GrantResult.DEADLINE_UNREACHABLE;
     }
     grant(request, p, suspect);
@@ -397,7 +505,8 @@
         && p.nominalPrefillNanos()
             > request.budgetNanos() * (1 - settings.policyParameters().deadlineMarginShare())
         && queue.size() <= 1
-        && 2 * freeDecodeCapacity() > totalDecodeCapacity();
+        && 2 * forecast.freeDecodeCapacity(commands.now())
+            > forecast.totalDecodeCapacity(commands.now());
   }
 
   private void grant(ReservationRequest request, Placer.Placement p, boolean suspect) {
@@ -420,7 +529,8 @@
       r.stage = Stage.TRANSFER;
     } else {
       // On an engine that runs both stages, prompt and output share one slot and one allocation.
-      reserveSlot(prefill, r, prefill == p.decodeEngine() ? r.decodePieces : r.prefillPieces);
+      ReservationTable.reserveSlot(
+          prefill, r, prefill == p.decodeEngine() ? r.decodePieces : r.prefillPieces);
       r.prefillEngine = prefill;
       r.kvSource = prefill.upstream.id();
       upstreamLimits.started(prefill.upstream.id());
@@ -435,7 +545,7 @@
     }
     if (p.decodeEngine() != prefill) {
       upstreamLimits.started(p.decodeEngine().upstream.id());
-      reserveSlot(p.decodeEngine(), r, r.decodePieces);
+      ReservationTable.reserveSlot(p.decodeEngine(), r, r.decodePieces);
     }
     r.decodeEngine = p.decodeEngine();
     p.decodeEngine().locallyGrantedDecodeSlots++;
@@ -444,224 +554,44 @@
     }
     transferLimiter.acquire();
     r.hasTransferPermit = true;
-    reservations.put(r.attempt, r);
+    reservations.add(r);
     sendGrant(r);
   }
 
-  private static void reserveSlot(EngineState e, Reservation r, int pieces) {
-    e.reservedSlots++;
-    e.reservedPieces += pieces;
-    e.suspectCount += r.suspect ? 1 : 0;
-  }
-
-  private static void releaseSlot(EngineState e, Reservation r, int pieces) {
-    e.reservedSlots--;
-    e.reservedPieces -= pieces;
-    e.suspectCount -= r.suspect ? 1 : 0;
-  }
-
-  private void enterStage(Reservation r, Stage stage) {
-    r.stage = stage;
-    r.stageStartNanos = commands.now();
-  }
-
-  private void endPrefill(Reservation r, boolean finished) {
-    if (r.prefillEngine != null) {
-      r.prefillEngine.prefillEnded(r, commands.now(), finished);
-    }
-  }
-
-  /** Frees the permit and prefill engine of an attempt that starts decode or ended before it. */
-  private void endTransfer(Reservation r, boolean finished) {
-    long now = commands.now();
-    if (r.stage == Stage.PREFILL) {
-      endPrefill(r, false);
-    } else if (finished && r.decodeEngine != null && r.prefillEngine != r.decodeEngine) {
-      long duration = now - r.stageStartNanos;
-      long predicted = transferLimiter.predictedTransferNanos(r.kvBytes);
-      if (predicted > 0) {
-        r.decodeEngine.transferSlowdown.observe(duration, predicted);
-      }
-      transferLimiter.recordTransfer(r.kvBytes, duration, now);
-    }
-    if (r.hasTransferPermit) {
-      transferLimiter.release();
-      r.hasTransferPermit = false;
-    }
-    if (r.prefillEngine != null && r.prefillEngine != r.decodeEngine) {
-      releaseSlot(r.prefillEngine, r, r.prefillPieces);
-    }
-    r.prefillEngine = null;
-  }
-
-  /** Frees everything that is still reserved. */
-  private void freeReservation(Reservation r, boolean finished) {
-    if (r.stage != Stage.DECODE) {
-      endTransfer(r, false);
-    }
-    if (r.decodeEngine != null) {
-      releaseSlot(r.decodeEngine, r, r.decodePieces);
-      r.decodeEngine.locallyGrantedDecodeSlots -= r.kvSource == null ? 0 : 1;
-      r.decodeEngine = null;
-      if (finished) {
-        departureRate.recordDeparture(commands.now());
-      }
-    }
-  }
-
-  /** Updates the token slowdown of the decode engine with the tokens since the last renewal. */
-  private void recordTokenProgress(Reservation r, int tokens) {
-    long now = commands.now();
-    int count = tokens - r.tokensSoFar;
-    if (r.decodeEngine != null && count > 0) {
-      long predicted = cell.model().tokenGapTarget().toNanos() * count;
-      r.decodeEngine.tokenSlowdown.observe(now - r.tokensUpdatedNanos, predicted);
-    }
-    r.tokensSoFar = tokens;
-    r.tokensUpdatedNanos = now;
-  }
-
-  /** Creates a reservation from the renewal of one that another admitting node granted. */
-  private void adoptReservation(HostId from, ReservationRenew renew) {
-    EngineState e = engines.get(renew.upstream());
-    if (e == null) {
-      return;
-    }
-    Reservation r = new Reservation(renew.attempt(), from, null, 0, 1, 0);
-    r.stage = Stage.DECODE;
-    r.decodeEngine = e;
-    r.stageStartNanos = commands.now();
-    r.tokensSoFar = renew.tokensSoFar();
-    r.tokensUpdatedNanos = commands.now();
-    r.expiresNanos = commands.now() + RENEWED_RESERVATION_NANOS;
-    reserveSlot(e, r, r.decodePieces);
-    reservations.put(r.attempt, r);
-  }
-
-  /** Moves an adopted reservation to the engine of its renewal, for example prefill to decode. */
-  private void moveAdoptedReservation(Reservation r, ReservationRenew renew) {
-    EngineState next = engines.get(renew.upstream());
-    if (next != null && r.decodeEngine != null && next != r.decodeEngine) {
-      releaseSlot(r.decodeEngine, r, r.decodePieces);
-      reserveSlot(next, r, r.decodePieces);
-      r.decodeEngine = next;
-    }
-  }
-
-  /** Blocks an engine that refused, failed or crashed, and ends the backoff of one that works. */
-  private void recordOutcome(EngineState e, @Nullable Reservation r, Outcome outcome) {
-    long now = commands.now();
-    switch (outcome) {
-      case FINISHED -> e.failureCount = 0;
-      case CANCELLED -> {}
-      case REFUSED ->
-          e.blockedUntilNanos = Math.max(e.blockedUntilNanos, now + REFUSAL_BLOCK_NANOS);
-      case FAILED -> {
-        e.blockAfterFailure(now);
-        if (r != null && r.stage == Stage.TRANSFER) {
-          transferLimiter.reduceLimit(now);
-        }
-      }
-      case CRASHED -> recordCrash(e, r);
-    }
-  }
-
-  /** Blocks a crashed engine and reports the requests that ran on it, once per crash. */
-  private void recordCrash(EngineState e, @Nullable Reservation reportedBy) {
-    long now = commands.now();
-    e.blockFor(now, CRASH_BLOCK_NANOS);
-    e.prefixIndex.clear();
-    e.unreservedAttempts = 0;
-    if (reportedBy == null || reportedBy.countedCrashEngine == e) {
-      // Every entry node reports the same crash for its own attempts.
-      return;
-    }
-    List<Fingerprint> running = new ArrayList<>();
-    for (Reservation r : reservations.values()) {
-      boolean inDecode = r.decodeEngine == e && r.stage != Stage.PREFILL;
-      if ((r.prefillEngine == e || inDecode) && r.countedCrashEngine != e) {
-        r.countedCrashEngine = e;
-        if (r.fingerprint != null) {
-          running.add(r.fingerprint);
-        }
-      }
-    }
-    crashListener.engineCrashed(e.upstream.id(), running);
-  }
-
   /** Queues a request, or refuses it if its first token is predicted after the deadline. */
   private void enqueue(ReservationRequest request) {
-    long wait = estimateWaitNanos(request);
-    if (commands.now() + wait + shortestServiceNanos(request) > latestFirstTokenNanos(request)) {
-      refuseOverloaded(request);
+    long now = commands.now();
+    long start = now + forecast.onTimeWaitNanos(request, now);
+    if (start + forecast.shortestServiceNanos(request) > latestFirstTokenNanos(request)) {
+      enqueueLate(request);
       return;
     }
     queue.add(request, settings.workspaceWeight(request.workspace()));
     sendQueued(request);
-    serveQueue();
-  }
-
-  private void updateAverageSize(ReservationRequest request) {
-    int pieces = request.decodeMemoryPieces(cell.model().memoryPieceTokens());
-    averageRequestPieces =
-        averageRequestPieces == 0
-            ? pieces
-            : averageRequestPieces + NEWEST_SIZE_WEIGHT * (pieces - averageRequestPieces);
-  }
-
-  /** Returns the number of average-sized requests that fit into free slots and KV memory. */
-  private int freeDecodeCapacity() {
-    return placer.freeDecodeCapacity((int) averageRequestPieces, commands.now());
-  }
-
-  /** Returns the number of average-sized requests that fit when the engines are empty. */
-  private int totalDecodeCapacity() {
-    return placer.totalDecodeCapacity((int) averageRequestPieces, commands.now());
-  }
-
-  /** Returns the predicted prefill and transfer time on the fastest prefill engine. */
-  private long shortestServiceNanos(ReservationRequest request) {
-    double rate = 0;
-    for (EngineState e : placer.prefillEngines()) {
-      rate = Math.max(rate, e.upstream.prefillTokensPerSecond() / e.prefillSlowdown.ratio());
-    }
-    long bytes = cell.model().kvBytesPerToken() * request.promptTokens();
-    return (long) (request.promptTokens() * 1e9 / Math.max(1, rate))
-        + transferLimiter.predictedTransferNanos(bytes);
   }
 
   /**
-   * Returns the predicted wait of a request before its prefill, nanoseconds. If no engine can run a
-   * prefill, this is {@code Long.MAX_VALUE / 4}, so that sums with it do not overflow.
-   *
-   * @param request null for a request behind all those in the queue
+   * Queues a request that cannot be on time behind those that can, or refuses it if its caller
+   * leaves before its predicted first token.
    */
-  private long estimateWaitNanos(@Nullable ReservationRequest request) {
+  private void enqueueLate(ReservationRequest request) {
     long now = commands.now();
-    WorkspaceId workspace = request == null ? null : request.workspace();
-    long tokens =
-        workspace == null ? queue.queuedPromptTokens() : queue.promptTokensAhead(workspace);
-    double rate = placer.prefillTokensPerNano(now);
-    long next = placer.nanosUntilNextPrefill(now);
-    if (rate <= 0 || next == Long.MAX_VALUE) {
-      return Long.MAX_VALUE / 4;
-    }
-    long permittedWait = placer.nanosUntilPermitted(queue.size(), now);
-    long prefillWait = Math.max(permittedWait, next + (long) (tokens / rate));
-    int missingSlots = queue.size() + 1 - freeDecodeCapacity();
-    if (missingSlots <= 0) {
-      return prefillWait;
+    long start = now + forecast.lateWaitNanos(request, now);
+    if (!request.mayBeLate()
+        || start + forecast.shortestServiceNanos(request) > request.waitLimitNanos()) {
+      refuseOverloaded(request);
+      return;
     }
-    double initial = INITIAL_DEPARTURES_PER_SLOT * Math.max(1, totalDecodeCapacity());
-    return Math.max(
-        prefillWait, (long) (missingSlots * 1e9 / departureRate.perSecond(now, initial)));
+    queue.addLate(request, settings.workspaceWeight(request.workspace()));
+    commands.explain(request.attempt().request(), "queued_late", cell.name());
+    sendQueued(request);
   }
 
   /** Refuses a request as overloaded, or as unavailable if no decode engine is usable. */
   private void refuseOverloaded(ReservationRequest request) {
     long budget = Math.max(1, request.budgetNanos());
     Duration retryAfter = retryAfterJitter.draw(summary().predictedWaitNanos(), budget);
-    boolean noEngine = totalDecodeCapacity() == 0;
+    boolean noEngine = forecast.totalDecodeCapacity(commands.now()) == 0;
     refuse(request, noEngine ? ErrorCode.UPSTREAM_UNAVAILABLE : ErrorCode.OVERLOADED, retryAfter);
   }
 
