Keep workspaces below their limit served for the 8 s until a death is noticed

Membership removes a silent node 8 s after its last heartbeat at the earliest; the fleet test assumed 3 s.

--- a/core/src/main/java/org/mustardlatch/core/budget/AllowanceLeases.java
+++ b/core/src/main/java/org/mustardlatch/core/budget/AllowanceLeases.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
+import org.jspecify.annotations.Nullable;
 import org.mustardlatch.core.model.HostId;
 
 /**
@@ -36,6 +37,9 @@
   private int currentRequests;
   private int previousRequests;
 
+  /** Owner of the units added last; units of a refunded request are returned to it. */
+  private @Nullable HostId lastOwner;
+
   /** Creates an allowance without leased units. */
   public AllowanceLeases(long nowNanos) {
     windowStartNanos = nowNanos;
@@ -50,12 +54,14 @@
 
   /** Adds a lease of an owner. */
   public void add(HostId owner, double units, long validNanos, long nowNanos) {
+    lastOwner = owner;
     leases.addLast(new Lease(owner, units, nowNanos + validNanos));
   }
 
   /** Returns units of a request that reached no server; they may be spent for one lease time. */
   public void refund(HostId self, double units, long nowNanos) {
-    leases.addLast(new Lease(self, units, nowNanos + WINDOW_NANOS));
+    HostId owner = lastOwner == null ? self : lastOwner;
+    leases.addLast(new Lease(owner, units, nowNanos + WINDOW_NANOS));
   }
 
   /** Spends the units and returns true, or returns false if fewer are leased. */
--- a/core/src/main/java/org/mustardlatch/core/budget/AllowanceOwner.java
+++ b/core/src/main/java/org/mustardlatch/core/budget/AllowanceOwner.java
@@ -17,7 +17,8 @@
  * R(T + L + W) + B units. A new owner starts with a part of what the bound permits in addition (see
  * {@link AllowanceTerms}), because the one before may just have granted a whole burst; with that
  * part being zero, it starts empty. An owner that sees a part of the fleet grants this part of the
- * rate. A request that costs more than a bucket exceeds the bound by at most its cost per owner.
+ * rate and of the burst. A request that costs more than a bucket exceeds the bound by at most its
+ * cost per owner.
  *
  * <p>Deterministic; not thread-safe.
  */
@@ -35,13 +36,15 @@
    */
   public void own(String name, AllowanceTerms terms, double visibleShare, long nowNanos) {
     double perSecond = terms.ownerPerSecond(visibleShare);
+    double capacity = terms.ownerCapacity(visibleShare);
     AllowanceBucket bucket = buckets.get(name);
     if (bucket == null) {
       buckets.put(
           name,
-          new AllowanceBucket(terms.newOwnerUnits(), terms.ownerCapacity(), perSecond, nowNanos));
+          new AllowanceBucket(
+              Math.min(capacity, terms.newOwnerUnits()), capacity, perSecond, nowNanos));
     } else {
-      bucket.setTerms(terms.ownerCapacity(), perSecond, nowNanos);
+      bucket.setTerms(capacity, perSecond, nowNanos);
     }
   }
 
--- a/core/src/main/java/org/mustardlatch/core/budget/AllowanceTerms.java
+++ b/core/src/main/java/org/mustardlatch/core/budget/AllowanceTerms.java
@@ -23,11 +23,12 @@
   // Half of a bucket must hold several requests; smaller ones have one owner.
   private static final double MIN_REQUESTS_FOR_TWO_OWNERS = 8;
 
-  // The parts of the reserve: for nodes that see only a part of the fleet, for nodes that reach no
-  // owner, and for the first units of up to four new owners within a window.
-  private static final double PARTITION_PART = 0.25;
-  private static final double UNREACHED_PART = 0.25;
-  private static final double NEW_OWNER_PART = 0.125;
+  // The parts of the reserve: for nodes that see only a part of the fleet, for larger buckets, for
+  // nodes that reach no owner, and for the first units of up to four new owners within a window.
+  private static final double PARTITION_PART = 0.2;
+  private static final double BURST_PART = 0.5;
+  private static final double UNREACHED_PART = 0.06;
+  private static final double NEW_OWNER_PART = 0.06;
 
   private final Allowance allowance;
   private final QuotaBounds bounds;
@@ -48,10 +49,17 @@
         : 2;
   }
 
-  /** Returns the units that an idle bucket of one owner accumulates. */
-  public double ownerCapacity() {
+  /**
+   * Returns the units that an idle bucket of one owner accumulates. Part of the reserve makes
+   * buckets larger: a request that costs more than half of the burst need not wait for a full one,
+   * and one owner lasts longer after the death of the other one.
+   *
+   * @param visibleShare part of the fleet's nodes that the owner sees, 0 to 1
+   */
+  public double ownerCapacity(double visibleShare) {
     double minimum = Math.max(1, MIN_CAPACITY_SECONDS * allowance.perSecond());
-    return Math.max(minimum, allowance.burst()) / ownerCount();
+    double units = Math.max(minimum, allowance.burst() + BURST_PART * reserve);
+    return grantedShare(visibleShare) * units / ownerCount();
   }
 
   /**
@@ -60,13 +68,18 @@
    * @param visibleShare part of the fleet's nodes that the owner sees, 0 to 1
    */
   double ownerPerSecond(double visibleShare) {
+    return grantedShare(visibleShare) * allowance.perSecond() / ownerCount();
+  }
+
+  /** Returns the part of the allowance that the owners grant who see a part of the fleet. */
+  private double grantedShare(double visibleShare) {
     double extra = PARTITION_PART * reserve / bounds.windowUnits(allowance);
-    return Math.min(1, visibleShare * (1 + extra)) * allowance.perSecond() / ownerCount();
+    return Math.min(1, visibleShare * (1 + extra));
   }
 
   /** Returns the units of a new owner's bucket; earlier owners may just have granted theirs. */
   double newOwnerUnits() {
-    return Math.min(ownerCapacity(), NEW_OWNER_PART * reserve);
+    return Math.min(ownerCapacity(1), NEW_OWNER_PART * reserve);
   }
 
   /**
@@ -87,7 +100,7 @@
    * nanoseconds: short against the time in which a bucket fills.
    */
   public long maxQuietNanos() {
-    double fillSeconds = ownerCapacity() * ownerCount() / allowance.perSecond();
-    return (long) (1e9 * Math.clamp(fillSeconds / 5, 0.02, 0.5));
+    double fillSeconds = ownerCapacity(1) * ownerCount() / allowance.perSecond();
+    return (long) (1e9 * Math.clamp(fillSeconds / 8, 0.02, 0.5));
   }
 }
--- a/core/src/main/java/org/mustardlatch/core/routing/NodeRouter.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/NodeRouter.java
@@ -406,6 +406,7 @@
             commands.now() + TICK_INTERVAL_NANOS));
     admissionController.dropAllReservations();
     requestCoordinator.restartAfterLongPause();
+    workspaceSpends.restartAfterLongPause();
     evidenceCoordinator.topologyChanged(topology, incarnation);
   }
 }
--- a/core/src/main/java/org/mustardlatch/core/routing/WorkspaceSpends.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/WorkspaceSpends.java
@@ -148,6 +148,12 @@
     }
   }
 
+  /** Drops the units that this node could grant; others may have granted them during a pause. */
+  void restartAfterLongPause() {
+    owner.retainOnly(Set.of());
+    updateOwnedTerms();
+  }
+
   /** Pays for a request, at once or when a lease arrives, or refuses it. */
   void spendRequested(RequestId request, String workspace, double cost) {
     String budget = BUDGET_PREFIX + workspace;
@@ -261,13 +267,16 @@
     }
     double all = units.waiting.stream().mapToDouble(WaitingSpend::units).sum();
     double wanted = all - available + units.leases.unitsToLeaseAhead(now);
-    return Math.max(first - available, Math.min(wanted, terms.ownerCapacity()));
+    return Math.max(first - available, Math.min(wanted, capacity(terms)));
+  }
+
+  private double capacity(AllowanceTerms terms) {
+    return terms.ownerCapacity(fleet.visibleShare());
   }
 
   private void leaseAhead(String budget, Units units, AllowanceTerms terms) {
     long now = commands.now();
-    double ahead =
-        Math.min(units.leases.unitsToLeaseAhead(now), Math.max(0, terms.ownerCapacity()));
+    double ahead = Math.min(units.leases.unitsToLeaseAhead(now), capacity(terms));
     HostId nearest = nextOwner(budget, units, terms);
     if (ahead > 0 && units.asked == null && now >= units.singleUntilNanos && nearest != null) {
       ask(nearest, budget, units, ahead);
@@ -317,8 +326,9 @@
                 <= units.waiting.getFirst().units() - units.leases.availableUnits(now);
     // An owner that does not own the allowance by its own view states no time.
     if (wasSingle || turnNanos <= 0) {
+      long turn = turnNanos > 0 ? turnNanos : Long.MAX_VALUE;
+      units.turnNanos = units.tried.isEmpty() ? turn : Math.min(units.turnNanos, turn);
       units.tried.add(from);
-      units.turnNanos = turnNanos > 0 ? Math.min(units.turnNanos, turnNanos) : units.turnNanos;
     }
     units.singleUntilNanos = now + SINGLE_REQUESTS_NANOS;
   }
