Give large requests their turn when their size is served less often

The test of large requests gave each size a workspace of its own, which fair queueing favours, and so hid a fault: within one workspace a large request never came first on time, because its own prefill takes more of its objective. Sizes that are granted less often than 0.9 of the share of their rank now take their turn at arrival. The test uses one workspace, with the same bound.

--- a/core/src/main/java/org/mustardlatch/core/routing/CellAdmission.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/CellAdmission.java
@@ -42,9 +42,12 @@
   // Every response carries a summary; in a burst it is not recomputed for each of them.
   private static final long MAX_SUMMARY_AGE_NANOS = 2_000_000;
 
-  // Requests of this many sizes, each up to twice as large as the one before, have shares.
-  private static final int SIZE_CLASSES = 4;
-  // Memory is held for a size that is granted less often than this multiple of the share of all.
+  // Multiple of the average KV memory from which a request is large.
+  private static final double MIN_LARGE_SIZE = 1.5;
+  // Sizes in pieces of KV memory, each up to twice as large as the one before.
+  private static final int SIZE_CLASSES = 24;
+  // Memory is held for a size that is granted less often than this multiple of the share
+  // of all requests of its rank.
   private static final double LARGE_SHARE = 0.9;
   // One engine in this many, and at least one, is held for a large request at the same time.
   private static final int ENGINES_PER_HOLD = 2;
@@ -68,7 +71,7 @@
   private final EngineOutcomes outcomes;
   private final Map<UpstreamId, EngineState> engines = new LinkedHashMap<>();
   private final AdmissionQueue queue = new AdmissionQueue();
-  private final GrantShares sizeShares = new GrantShares(SIZE_CLASSES, LARGE_SHARE);
+  private final Map<Integer, GrantShares> sizeShares = new HashMap<>();
   private final List<DecodeMemoryHold> holds = new ArrayList<>();
   private final KvTransferLimiter transferLimiter = new KvTransferLimiter();
   private final DepartureRate departureRate = new DepartureRate();
@@ -160,7 +163,7 @@
     }
     forecast.requestArrived(request);
     queue.recordArrival(request, commands.now());
-    sizeShares.recordArrival(sizeClass(request), commands.now());
+    sizeShares(request).recordArrival(sizeClass(request), commands.now());
     if (evidence.suspicionLevel(request.fingerprint(), commands.now())
         == SuspicionLevel.QUARANTINED) {
       refuse(request, ErrorCode.REQUEST_QUARANTINED, Duration.ZERO);
@@ -172,6 +175,9 @@
       return;
     }
     if (queue.size() > 0 && request.kvSource() == null) {
+      if (takeTurnOfLarge(request)) {
+        return;
+      }
       enqueue(request);
       serveQueue();
       return;
@@ -179,7 +185,7 @@
     switch (tryGrant(request, latestFirstTokenNanos(request))) {
       case GRANTED -> {
         queue.recordGrant(request);
-        sizeShares.recordGrant(sizeClass(request));
+        sizeShares(request).recordGrant(sizeClass(request));
         forecast.recordOnTimeGrant(commands.now());
       }
       case DEADLINE_UNREACHABLE -> {
@@ -379,7 +385,7 @@
   private void served(ReservationRequest request, boolean late) {
     queue.removeServed(request.attempt());
     queue.recordGrant(request);
-    sizeShares.recordGrant(sizeClass(request));
+    sizeShares(request).recordGrant(sizeClass(request));
     if (!late) {
       forecast.recordOnTimeGrant(commands.now());
     }
@@ -405,13 +411,38 @@
     return null;
   }
 
+  /**
+   * Grants a large request, or holds memory for it, if requests of its size were granted less often
+   * than others of its rank. In the queue it would never come first on time: its own prefill takes
+   * a larger part of its objective, so it would be refused while smaller ones still wait.
+   */
+  private boolean takeTurnOfLarge(ReservationRequest request) {
+    if (!request.mayBeLate()
+        || forecast.relativeSize(request) < MIN_LARGE_SIZE
+        || !sizeShares(request).isBelowGuarantee(sizeClass(request))) {
+      return false;
+    }
+    queue.add(request, settings.workspaceWeight(request.workspace()));
+    if (tryGrant(request, request.waitLimitNanos()) == GrantResult.GRANTED) {
+      served(request, false);
+      return true;
+    }
+    if (startHold(request)) {
+      sendQueued(request);
+      serveQueue();
+      return true;
+    }
+    queue.remove(request.attempt());
+    return false;
+  }
+
   /**
    * Starts to hold memory for a request whose turn has come and that does not fit, if that is the
    * reason for which it cannot be granted, requests of its size were granted less often than
    * others, and few enough engines are held.
    */
   private boolean startHold(ReservationRequest request) {
-    if (!sizeShares.isBelowGuarantee(sizeClass(request))
+    if (!sizeShares(request).isBelowGuarantee(sizeClass(request))
         || holds.size() >= Math.max(1, placer.decodeEngines().size() / ENGINES_PER_HOLD)) {
       return false;
     }
@@ -455,9 +486,16 @@
     }
   }
 
-  /** Returns 0 for up to twice the average size, 1 for up to four times, and so on. */
+  /** Returns the grants of requests of the same rank by size. */
+  private GrantShares sizeShares(ReservationRequest request) {
+    return sizeShares.computeIfAbsent(
+        request.rank(), r -> new GrantShares(SIZE_CLASSES, LARGE_SHARE));
+  }
+
+  /** Returns the class of the size of a request: the exponent of its KV memory in pieces. */
   private int sizeClass(ReservationRequest request) {
-    return Math.max(0, Math.getExponent(forecast.relativeSize(request)));
+    int pieces = request.decodeMemoryPieces(cell.model().memoryPieceTokens());
+    return Math.max(0, Math.getExponent((float) pieces));
   }
 
   /** Returns whether no engine has the memory for a request, even when it is empty. */
--- a/core/src/test/java/org/mustardlatch/core/routing/CellLoad.java
+++ b/core/src/test/java/org/mustardlatch/core/routing/CellLoad.java
@@ -66,6 +66,10 @@
       return new Source(name, name, rank, perSecond, MEAN_PROMPT_TOKENS, 0, 0);
     }
 
+    Source inWorkspace(String other) {
+      return new Source(name, other, rank, perSecond, promptTokens, ageNanos, startNanos);
+    }
+
     Source withPrompt(int tokens) {
       return new Source(name, workspace, rank, perSecond, tokens, ageNanos, startNanos);
     }
--- a/core/src/test/java/org/mustardlatch/core/routing/CellOverloadTest.java
+++ b/core/src/test/java/org/mustardlatch/core/routing/CellOverloadTest.java
@@ -100,12 +100,15 @@
   /** Guards against small requests that take each piece of memory a large one waits for. */
   @Test
   void largeRequestsAreServedNearlyAsOftenAsOthers() {
-    double perSecond = CAPACITY;
     List<Source> sources =
         List.of(
-            Source.of("mean", 5, 1.4 * perSecond),
-            Source.of("three", 5, 0.1 * perSecond).withPrompt(3 * CellLoad.MEAN_PROMPT_TOKENS),
-            Source.of("ten", 5, 0.03 * perSecond).withPrompt(10 * CellLoad.MEAN_PROMPT_TOKENS));
+            Source.of("mean", 5, 1.4 * CAPACITY).inWorkspace("all"),
+            Source.of("three", 5, 0.1 * CAPACITY)
+                .inWorkspace("all")
+                .withPrompt(3 * CellLoad.MEAN_PROMPT_TOKENS),
+            Source.of("ten", 5, 0.03 * CAPACITY)
+                .inWorkspace("all")
+                .withPrompt(10 * CellLoad.MEAN_PROMPT_TOKENS));
     Map<String, Result> results = new CellLoad(SEED, true).play(sources);
 
     double mean = of(results, "mean").servedShare();
