--- a/gateway/src/main/java/org/mustardlatch/gateway/ApplicationRequestHandler.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/ApplicationRequestHandler.java
@@ -47,10 +47,6 @@
  */
 final class ApplicationRequestHandler {
   private static final int MAX_REFUSALS = 3;
-  // An idempotent request without a response after this multiple of its predicted time is sent to a
-  // second upstream as well.
-  private static final double SLOW_RESPONSE_FACTOR = 3;
-  private static final Duration MIN_SLOW_RESPONSE_DELAY = Duration.ofMillis(60);
   private static final int MIN_SERVER_ERROR_STATUS = 500;
   private static final String HEDGE_REASON = "hedge";
   private static final int HTTP_OK = 200;
@@ -66,7 +62,7 @@
   private final RandomGenerator random;
   private final Balancer balancer = new Balancer();
   private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
-  private final Map<String, HedgePolicy> hedgePolicies = new HashMap<>();
+  private final Hedging hedging;
   private final Map<CallerExchange, ActiveRequest> activeRequests = new HashMap<>();
   private final PlatformProtocol protocol;
   private final GatewayMetrics metrics;
@@ -96,6 +92,7 @@
     this.protocol = protocol;
     this.random = random;
     this.networkLatency = new NetworkLatencyEstimates(settings);
+    this.hedging = new Hedging(settings, timers, metrics);
     runDecisions.onDecision(this::runDecided, this::startDecided);
   }
 
@@ -107,10 +104,7 @@
   /** Sends a request to an upstream and credits the retry budget of its service. */
   void start(RoutedExchange exchange) {
     ActiveRequest request = new ActiveRequest(exchange);
-    HedgePolicy hedging = hedgePolicy(exchange.service().name());
-    if (hedging != null) {
-      hedging.requestReceived();
-    }
+    hedging.requestReceived(exchange.service().name());
     activeRequests.put(exchange.caller(), request);
     retryBudget(exchange.service().name()).deposit(settings.retryBudgetRatio() / 2);
     request.sendFirstAttempt();
@@ -141,15 +135,6 @@
         service, s -> RetryLimits.budgetPerNode(settings, liveNodeCount.getAsInt()));
   }
 
-  /** Returns the policy for second copies to a service; null if the operator set no share. */
-  private @Nullable HedgePolicy hedgePolicy(String service) {
-    if (settings.maxHedgeShare().isEmpty()) {
-      return null;
-    }
-    double maxShare = settings.maxHedgeShare().getAsDouble();
-    return hedgePolicies.computeIfAbsent(service, s -> new HedgePolicy(maxShare, timers.nanos()));
-  }
-
   private List<Candidate> candidates(ActiveRequest request) {
     List<Candidate> result = new ArrayList<>();
     for (Instance i : fleet.instancesForNewWork(request.exchange.service().name())) {
@@ -343,41 +328,31 @@
       if (!exchange.route().repeatable() || slowResponseTimer != null) {
         return;
       }
-      OptionalLong delay = slowResponseDelayNanos(predictedNanos);
+      OptionalLong delay = hedging.delayNanos(exchange.service().name(), predictedNanos);
       if (delay.isPresent()) {
         slowResponseTimer =
             timers.schedule(Duration.ofNanos(delay.getAsLong()), this::onSlowResponse);
       }
     }
 
-    private OptionalLong slowResponseDelayNanos(double predictedNanos) {
-      HedgePolicy hedging = hedgePolicy(exchange.service().name());
-      if (hedging != null) {
-        return hedging.delayNanos(timers.nanos());
-      }
-      return OptionalLong.of(
-          Math.max(
-              MIN_SLOW_RESPONSE_DELAY.toNanos(), (long) (SLOW_RESPONSE_FACTOR * predictedNanos)));
-    }
-
     private void onSlowResponse() {
       if (activeAttempts.size() != 1 || suspect || !mayAttemptAgain()) {
         return;
       }
-      HedgePolicy hedging = hedgePolicy(exchange.service().name());
-      if (hedging == null) {
+      HedgePolicy policy = hedging.policy(exchange.service().name());
+      if (policy == null) {
         if (acquireHedge()) {
           requestRun("late_answer");
         }
         return;
       }
-      HedgePolicy.Decision decision = hedging.requestCopy(otherUpstreamHasRoom());
+      HedgePolicy.Decision decision = policy.requestCopy(otherUpstreamHasRoom());
       if (decision != HedgePolicy.Decision.SEND) {
-        explain("copy_not_sent", decision.name().toLowerCase(Locale.ROOT));
+        hedging.explain(exchange, "copy_not_sent", decision.name().toLowerCase(Locale.ROOT));
       } else if (!acquireHedge()) {
-        explain("copy_not_sent", "retry_budget");
+        hedging.explain(exchange, "copy_not_sent", "retry_budget");
       } else {
-        explain("copy_sent", "response is late");
+        hedging.explain(exchange, "copy_sent", "response is late");
         requestRun(HEDGE_REASON);
       }
     }
@@ -388,11 +363,6 @@
       return next != null && balancer.hasFreeSlot(next, now);
     }
 
-    private void explain(String rule, String detail) {
-      metrics.countDecision(rule);
-      EventLog.log(LogEvent.DECISION, exchange.callerRequestId(), exchange.localId(), rule, detail);
-    }
-
     /**
      * Ends the request unless another attempt is in progress. The caller gets the server error that
      * an upstream sent to an earlier attempt, or this error if there was none.
@@ -564,15 +534,16 @@
 
     /** Records response times for the delay of later copies, and which copy was faster. */
     private void recordHedgeResult(Attempt responded, long now) {
-      HedgePolicy hedging = hedgePolicy(exchange.service().name());
-      if (hedging == null) {
+      HedgePolicy policy = hedging.policy(exchange.service().name());
+      if (policy == null) {
         return;
       }
-      hedging.responseTimeObserved(now - responded.sentNanos, now);
+      policy.responseTimeObserved(now - responded.sentNanos, now);
       for (Attempt other : activeAttempts) {
-        hedging.responseTimeObserved(now - other.sentNanos, now);
+        policy.responseTimeObserved(now - other.sentNanos, now);
         if (responded.isHedge || other.isHedge) {
-          explain(responded.isHedge ? "copy_won" : "copy_lost", responded.upstream.value());
+          hedging.explain(
+              exchange, responded.isHedge ? "copy_won" : "copy_lost", responded.upstream.value());
         }
       }
     }
