--- a/core/src/main/java/org/mustardlatch/core/budget/AllowanceBucket.java
+++ b/core/src/main/java/org/mustardlatch/core/budget/AllowanceBucket.java
@@ -5,7 +5,7 @@
  * holds is granted when the bucket is full and leaves a debt.
  */
 public final class AllowanceBucket {
-  // Callers that are told a longer time do not respect it.
+  // Callers do not respect a longer time.
   private static final long MAX_TURN_NANOS = 4_000_000_000L;
 
   private double capacity;
--- a/core/src/main/java/org/mustardlatch/core/routing/AdmissionQueue.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/AdmissionQueue.java
@@ -26,8 +26,7 @@
  */
 final class AdmissionQueue {
   // If a fraction f of all requests is served, each rank is promised f/4. A higher share leaves
-  // room
-  // for requests that fail after their grant.
+  // room for requests that fail after their grant.
   private static final double GUARANTEED_SHARE = 0.3;
 
   private final NavigableMap<Integer, FairQueue> onTime = new TreeMap<>();
--- a/gateway/src/main/java/org/mustardlatch/gateway/CallerAuthentication.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/CallerAuthentication.java
@@ -20,7 +20,8 @@
      *
      * @param workspace workspace of the key; null on a public route without a valid key, and if the
      *     configuration has no workspaces
-     * @param identity whom upstreams are told; null if the configuration has no workspaces
+     * @param identity what upstreams receive as the identity of the caller; null if the
+     *     configuration has no workspaces
      */
     record Accepted(@Nullable GatewayWorkspace workspace, @Nullable CallerIdentity identity)
         implements Result {}
--- a/gateway/src/main/java/org/mustardlatch/gateway/CallerIdentity.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/CallerIdentity.java
@@ -3,7 +3,7 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * The workspace that upstreams are told, if the configuration has workspaces.
+ * The workspace that upstreams receive, if the configuration has workspaces.
  *
  * @param workspace name of the workspace of the caller's key; null on a public route without one
  */
--- a/gateway/src/main/java/org/mustardlatch/gateway/RoutedExchange.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/RoutedExchange.java
@@ -112,7 +112,9 @@
     return service;
   }
 
-  /** Returns whom upstreams are told to work for; null if the configuration has no workspaces. */
+  /**
+   * Returns the identity of the caller for upstreams; null if the configuration has no workspaces.
+   */
   @Nullable CallerIdentity identity() {
     return identity;
   }
--- a/gateway/src/main/java/org/mustardlatch/gateway/UpstreamCallPlan.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/UpstreamCallPlan.java
@@ -12,7 +12,7 @@
  * @param resumeAfterEventId id of the last event that the caller received; null to start at the
  *     beginning
  * @param reservationId the engine's id of the reservation for this request; null for none
- * @param identity whom the upstream is told to work for; null if the configuration has no
+ * @param identity identity of the caller for the upstream; null if the configuration has no
  *     workspaces
  */
 public record UpstreamCallPlan(
