--- a/gateway/src/main/java/org/mustardlatch/gateway/http/UpstreamConnection.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/http/UpstreamConnection.java
@@ -13,7 +13,6 @@
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectDecoder;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -393,33 +392,4 @@
       }
     };
   }
-
-  /**
-   * Decodes responses without pairing them with requests, since a response that belongs to no
-   * request would shift the pairs.
-   */
-  static final class ResponseDecoder extends io.netty.handler.codec.http.HttpResponseDecoder {
-    private boolean noBody;
-
-    ResponseDecoder() {
-      super(
-          HttpObjectDecoder.DEFAULT_MAX_INITIAL_LINE_LENGTH,
-          4 * HttpObjectDecoder.DEFAULT_MAX_HEADER_SIZE,
-          8 * HttpObjectDecoder.DEFAULT_MAX_CHUNK_SIZE);
-    }
-
-    /** Returns whether bytes have arrived after the response that was decoded last. */
-    boolean hasUnreadBytes() {
-      return actualReadableBytes() > 0;
-    }
-
-    void expectNoBody(boolean expected) {
-      noBody = expected;
-    }
-
-    @Override
-    protected boolean isContentAlwaysEmpty(io.netty.handler.codec.http.HttpMessage message) {
-      return noBody || super.isContentAlwaysEmpty(message);
-    }
-  }
 }
--- a/gateway/src/main/java/org/mustardlatch/gateway/http/UpstreamPool.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/http/UpstreamPool.java
@@ -163,7 +163,7 @@
         new ChannelInitializer<Channel>() {
           @Override
           protected void initChannel(Channel ch) {
-            var decoder = new UpstreamConnection.ResponseDecoder();
+            var decoder = new ResponseDecoder();
             var connection = new UpstreamConnection(UpstreamPool.this, ch, decoder);
             ch.pipeline().addLast("counter", connection.byteCounter());
             ch.pipeline().addLast("decoder", decoder);
