Reject responses with a head line that is no header field

Seen by callers: of a response with the line "Content-Length x: 5" its caller got 200 with the first 5 bytes of the body, complete by its framing. Other names with a blank or a tab came through cut at the blank. "Not-Run x: 1" in a 200 counted as the refusal of a request, so one that may run once ran at a second upstream. A line that begins with a blank became part of the field before it, such as the stamp of the upstream. A prefill response with such a line named a KV cache. Control bytes in a name were rejected before, and the tests of that are kept.

Cause: for responses the decoder ends a name at the first blank and skips what follows up to the colon, and it joins folded lines; it does neither in requests.

Change: ResponseDecoder rejects a name that the colon does not follow, in heads and in trailers, and a head with a folded line, which RFC 9112, section 5.2, lets a gateway discard. The call then fails as GARBLED, as for any other response that can't be decoded. The check of folded lines looks at the bytes that the decoder has consumed, as the decoder does not report where it joins lines.

--- a/gateway/src/main/java/org/mustardlatch/gateway/http/ResponseDecoder.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/http/ResponseDecoder.java
@@ -1,8 +1,14 @@
 package org.mustardlatch.gateway.http;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObjectDecoder;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.util.AsciiString;
+import java.util.List;
 import java.util.regex.Pattern;
 
 /**
@@ -18,6 +24,9 @@
   private static final Pattern REASON = Pattern.compile("[^\\p{Cntrl}&&[^\t]]*");
 
   private boolean noBody;
+  // Set from the status line to the end of the head.
+  private boolean inFields;
+  private boolean foldedLine;
 
   ResponseDecoder() {
     super(
@@ -45,6 +54,8 @@
     requireMatch(VERSION, statusLine[0], "version");
     requireMatch(STATUS, statusLine[1], "status");
     requireMatch(REASON, statusLine[2], "reason phrase");
+    inFields = true;
+    foldedLine = false;
     return super.createMessage(statusLine);
   }
 
@@ -54,6 +65,55 @@
     }
   }
 
+  /**
+   * Rejects a name that a blank ends. The decoder of responses itself skips the rest up to the
+   * colon, so that {@code Content-Length x: 5} would be the length of the body.
+   */
+  @Override
+  protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+    if (line[start + length] != ':') {
+      throw new IllegalArgumentException("blank in the name of a header field");
+    }
+    return super.splitHeaderName(line, start, length);
+  }
+
+  /**
+   * Rejects a head with a line that begins with a blank. The decoder itself appends such a line to
+   * the value of the field before (RFC 9112, section 5.2, allows either).
+   */
+  @Override
+  protected void decode(ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out)
+      throws Exception {
+    boolean startsInFields = inFields;
+    int start = buffer.readerIndex();
+    super.decode(ctx, buffer, out);
+    if (!inFields) {
+      return;
+    }
+    // The lines of a head are consumed whole.
+    foldedLine |= hasFoldedLine(buffer, start, startsInFields);
+    if (!out.isEmpty() && out.getFirst() instanceof HttpResponse response) {
+      inFields = false;
+      if (foldedLine) {
+        response.setDecoderResult(
+            DecoderResult.failure(new IllegalArgumentException("folded header field")));
+      }
+    }
+  }
+
+  /** Returns whether one of the lines between an index and the reader index begins with a blank. */
+  private static boolean hasFoldedLine(ByteBuf buffer, int start, boolean startsWithField) {
+    boolean lineStart = startsWithField;
+    for (int i = start; i < buffer.readerIndex(); i++) {
+      byte b = buffer.getByte(i);
+      if (lineStart && (b == ' ' || b == '\t')) {
+        return true;
+      }
+      lineStart = b == '\n';
+    }
+    return false;
+  }
+
   @Override
   protected boolean isContentAlwaysEmpty(HttpMessage message) {
     return noBody || super.isContentAlwaysEmpty(message);
--- a/gateway/src/test/java/org/mustardlatch/gateway/BrokenHeadTest.java
+++ b/gateway/src/test/java/org/mustardlatch/gateway/BrokenHeadTest.java
@@ -4,6 +4,7 @@
 import static java.nio.charset.StandardCharsets.ISO_8859_1;
 
 import java.io.IOException;
+import java.net.Socket;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -56,8 +57,37 @@
     return Stream.concat(codes.map(code -> "HTTP/1.1 " + code + " OK"), others);
   }
 
+  /** Lines that are no header fields; each of them frames or decides if its first word does. */
+  static Stream<String> invalidFields() {
+    return Stream.of(
+        "Content-Length x: 5",
+        "Content-Length\tx: 5",
+        "Content-Length : 5",
+        "Content-Length\t: 5",
+        " Content-Length: 5",
+        "\tContent-Length: 5",
+        "Transfer-Encoding x: chunked",
+        "Not-Run x: 1",
+        " Not-Run: 1",
+        "Note x",
+        "Note",
+        ": 1",
+        "No\0te: 1",
+        "No\u0001te: 1",
+        "No\u000bte: 1",
+        "Note\u001f: 1",
+        "No\u007fte: 1",
+        "No\rte: 1");
+  }
+
   private static ScriptedUpstream.Step response(String text) {
-    return (socket, out, request) -> out.write(text.getBytes(ISO_8859_1));
+    return (socket, out, request) -> write(socket, text);
+  }
+
+  /** Writes a response and ends it, since its head need not state its length. */
+  private static void write(Socket socket, String text) throws IOException {
+    socket.getOutputStream().write(text.getBytes(ISO_8859_1));
+    socket.shutdownOutput();
   }
 
   private String send(String path) throws IOException {
@@ -69,6 +99,11 @@
     return statusLine + "\r\n" + FIELDS + FRAMED_BODY;
   }
 
+  /** Returns a response that ends with its connection unless its head states otherwise. */
+  private static String withField(String field) {
+    return STATUS_LINE + "\r\n" + FIELDS + field + "\r\n\r\n" + BODY;
+  }
+
   private void assertErrorOfAnApplication(String response) throws Exception {
     gateway.addApplication("first", first);
     gateway.addApplication("second", second);
@@ -86,8 +121,7 @@
       u.onNextRequest(
           (socket, out, request) -> {
             boolean repeated = first.requests().size() + second.requests().size() > 1;
-            String text = repeated ? withStatusLine(STATUS_LINE) : response;
-            out.write(text.getBytes(ISO_8859_1));
+            write(socket, repeated ? withStatusLine(STATUS_LINE) : response);
           });
     }
 
@@ -143,6 +177,30 @@
     assertNotTakenForAPrefill(statusLine + KV_RESPONSE);
   }
 
+  @ParameterizedTest
+  @MethodSource("invalidFields")
+  void invalidFieldOfAnApplicationIsAnError(String field) throws Exception {
+    assertErrorOfAnApplication(withField(field));
+  }
+
+  @ParameterizedTest
+  @MethodSource("invalidFields")
+  void requestThatGotAnInvalidFieldIsRepeatedIfIdempotent(String field) throws Exception {
+    assertRepeatedIfIdempotent(withField(field));
+  }
+
+  @ParameterizedTest
+  @MethodSource("invalidFields")
+  void invalidFieldOfADecodeEngineIsAnError(String field) throws Exception {
+    assertErrorOfADecodeEngine(withField(field));
+  }
+
+  @ParameterizedTest
+  @MethodSource("invalidFields")
+  void prefillWithAnInvalidFieldNamesNoKvCache(String field) throws Exception {
+    assertNotTakenForAPrefill(STATUS_LINE + "\r\n" + field + KV_RESPONSE);
+  }
+
   @ParameterizedTest
   @ValueSource(strings = {"200 ", "299 Odd", "404 Not here", "600 Odd", "999 \u00e9\tOdd"})
   void anyStatusOfThreeDigitsIsPassedOn(String status) throws Exception {
