Deliver an early response without a body though the request is not written

Seen by callers: an upstream that answers a long upload at once with 204 or 304 and no length, and keeps the connection, gave its caller 502.

Cause: every response without a length and chunks counted as one that ends with its connection, also where the status allows no body (RFC 9112, section 6.3) and for HEAD. Such a response may not be trusted before the request is written.

Change: ResponseDecoder says which responses end with their connection, from the same rule by which it ends one without a body.

--- a/gateway/src/main/java/org/mustardlatch/gateway/http/ResponseDecoder.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/http/ResponseDecoder.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpObjectDecoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.AsciiString;
 import java.util.List;
 import java.util.regex.Pattern;
@@ -45,6 +46,13 @@
     noBody = expected;
   }
 
+  /** Returns whether only the end of its connection delimits a response. */
+  boolean endsWithConnection(HttpResponse response) {
+    return !isContentAlwaysEmpty(response)
+        && !HttpUtil.isTransferEncodingChunked(response)
+        && !HttpUtil.isContentLengthSet(response);
+  }
+
   /**
    * Rejects a status line whose parts are not those of a response. The decoder itself takes any
    * integer for a status.
--- a/gateway/src/main/java/org/mustardlatch/gateway/http/UpstreamConnection.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/http/UpstreamConnection.java
@@ -16,7 +16,6 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
-import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
@@ -244,8 +243,8 @@
       return;
     }
     headReceived = true;
-    boolean framed = HttpUtil.isTransferEncodingChunked(r) || HttpUtil.isContentLengthSet(r);
-    responseEnd = framed ? ResponseEnd.FRAMING : ResponseEnd.CONNECTION_CLOSE;
+    responseEnd =
+        decoder.endsWithConnection(r) ? ResponseEnd.CONNECTION_CLOSE : ResponseEnd.FRAMING;
     readKeepAliveTimeout(r.headers());
     if (r.headers().containsValue(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true)
         || r.protocolVersion().equals(HttpVersion.HTTP_1_0)) {
--- a/gateway/src/test/java/org/mustardlatch/gateway/UnframedResponseTest.java
+++ b/gateway/src/test/java/org/mustardlatch/gateway/UnframedResponseTest.java
@@ -24,6 +24,7 @@
  * complete.
  */
 class UnframedResponseTest {
+  private static final String HEAD_END = "\r\nId: q1\r\nMark: m\r\n\r\n";
   private static final String STREAM_HEAD =
       "HTTP/1.1 200 OK\r\nId: q1\r\nMark: m\r\nContent-Type: text/event-stream\r\n\r\n";
   private static final String JSON_HEAD =
@@ -369,6 +370,37 @@
     }
   }
 
+  /** The status alone tells that such a response is complete. */
+  @ParameterizedTest
+  @ValueSource(strings = {"204 No Content", "304 Not Modified"})
+  void responseWithoutABodyIsDeliveredBeforeTheRequestIsWritten(String status) throws Exception {
+    CountDownLatch delivered = new CountDownLatch(1);
+    try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        Socket caller = gateway.connect()) {
+      gateway.addApplication("first", (InetSocketAddress) server.getLocalSocketAddress());
+      Thread.ofVirtual()
+          .start(() -> respondEarly(server, "HTTP/1.1 " + status + HEAD_END, delivered));
+      write(caller, "POST /once/x HTTP/1.1\r\nHost: host\r\nId: q1\r\nConnection: close\r\n");
+      write(caller, "Content-Length: %d\r\n\r\n".formatted(LONG_BODY_BYTES));
+      write(caller, "x".repeat(LONG_BODY_BYTES - 1));
+
+      String response = ScriptedUpstream.readHead(caller.getInputStream());
+      delivered.countDown();
+      assertThat(response).startsWith("HTTP/1.1 " + status);
+    }
+  }
+
+  /** Responds to the head of a request, and keeps the connection until a latch is released. */
+  private static void respondEarly(ServerSocket server, String response, CountDownLatch latch) {
+    try (Socket s = server.accept()) {
+      ScriptedUpstream.readHead(s.getInputStream());
+      write(s, response);
+      await(latch);
+    } catch (IOException | InterruptedException e) {
+      throw new AssertionError(e);
+    }
+  }
+
   private static void write(Socket socket, String text) throws IOException {
     socket.getOutputStream().write(text.getBytes(UTF_8));
     socket.getOutputStream().flush();
