Reject responses with a transfer coding other than chunked

Seen by callers: a response with "Transfer-Encoding: gzip" came through as 200 with the encoded bytes, of the length that a Content-Length beside it stated or up to the close, and without the field that says how it is encoded. With "gzip, chunked" only the chunks were taken off, with "chunked;x=1" not even these. A prefill response of that kind named a KV cache.

Cause: the decoder knows chunked only and leaves other codings to its user, and Transfer-Encoding is a hop-by-hop field, which is not passed on. No request asks for such a coding.

Change: ResponseDecoder rejects a head with another coding, as RFC 9112, section 6.1, expects of a recipient that can't decode it. The obsolete value identity is accepted alone, since it changes nothing.

--- a/gateway/src/main/java/org/mustardlatch/gateway/http/ResponseDecoder.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/http/ResponseDecoder.java
@@ -1,5 +1,7 @@
 package org.mustardlatch.gateway.http;
 
+import static io.netty.handler.codec.http.HttpHeaderNames.TRANSFER_ENCODING;
+
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.DecoderResult;
@@ -86,8 +88,9 @@
   }
 
   /**
-   * Rejects a head with a line that begins with a blank. The decoder itself appends such a line to
-   * the value of the field before (RFC 9112, section 5.2, allows either).
+   * Rejects a head with a line that begins with a blank or with an unsupported transfer coding. The
+   * decoder itself appends such a line to the value of the field before (RFC 9112, section 5.2,
+   * allows either), and leaves codings other than chunked to its user.
    */
   @Override
   protected void decode(ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out)
@@ -103,12 +106,17 @@
     if (!out.isEmpty() && out.getFirst() instanceof HttpResponse response) {
       inFields = false;
       if (foldedLine) {
-        response.setDecoderResult(
-            DecoderResult.failure(new IllegalArgumentException("folded header field")));
+        reject(response, "folded header field");
+      } else if (!TransferCodings.areSupported(response.headers().getAll(TRANSFER_ENCODING))) {
+        reject(response, "unsupported transfer coding");
       }
     }
   }
 
+  private static void reject(HttpResponse response, String reason) {
+    response.setDecoderResult(DecoderResult.failure(new IllegalArgumentException(reason)));
+  }
+
   /** Returns whether one of the lines between an index and the reader index begins with a blank. */
   private static boolean hasFoldedLine(ByteBuf buffer, int start, boolean startsWithField) {
     boolean lineStart = startsWithField;
--- a/gateway/src/test/java/org/mustardlatch/gateway/BrokenHeadTest.java
+++ b/gateway/src/test/java/org/mustardlatch/gateway/BrokenHeadTest.java
@@ -80,6 +80,21 @@
         "No\rte: 1");
   }
 
+  /** Fields with which the body of a response is not what its caller would get. */
+  static Stream<String> unsupportedTransferCodings() {
+    return Stream.of(
+        "Transfer-Encoding: gzip",
+        "Transfer-Encoding: gzip\r\nContent-Length: 5",
+        "Transfer-Encoding: gzip, chunked",
+        "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: chunked;x=1",
+        "Transfer-Encoding:");
+  }
+
+  private static String withChunks(String field) {
+    return STATUS_LINE + "\r\n" + FIELDS + field + "\r\n\r\n5\r\n\u001f\u008b\b\0\0\r\n0\r\n\r\n";
+  }
+
   private static ScriptedUpstream.Step response(String text) {
     return (socket, out, request) -> write(socket, text);
   }
@@ -201,6 +216,36 @@
     assertNotTakenForAPrefill(STATUS_LINE + "\r\n" + field + KV_RESPONSE);
   }
 
+  @ParameterizedTest
+  @MethodSource("unsupportedTransferCodings")
+  void unsupportedTransferCodingOfAnApplicationIsAnError(String field) throws Exception {
+    assertErrorOfAnApplication(withChunks(field));
+  }
+
+  @ParameterizedTest
+  @MethodSource("unsupportedTransferCodings")
+  void requestThatGotAnUnsupportedTransferCodingIsRepeatedIfIdempotent(String field)
+      throws Exception {
+    assertRepeatedIfIdempotent(withChunks(field));
+  }
+
+  @ParameterizedTest
+  @MethodSource("unsupportedTransferCodings")
+  void prefillWithAnUnsupportedTransferCodingNamesNoKvCache(String field) throws Exception {
+    assertNotTakenForAPrefill(withChunks(field));
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"Identity", " identity "})
+  void identityTransferCodingIsDelivered(String coding) throws Exception {
+    gateway.addApplication("first", first);
+    first.onNextRequest(response(withField("Transfer-Encoding: " + coding)));
+
+    String received = send("/once/x");
+    assertThat(received).startsWith(STATUS_LINE);
+    assertThat(received).endsWith("\r\n\r\n" + BODY);
+  }
+
   @ParameterizedTest
   @ValueSource(strings = {"200 ", "299 Odd", "404 Not here", "600 Odd", "999 \u00e9\tOdd"})
   void anyStatusOfThreeDigitsIsPassedOn(String status) throws Exception {
