Fail calls of the daemon's own interface whose response has an invalid head

Seen: ApplicationClient, whose results the own interface passes on to callers, took a service's status 000 for 0, 099 for 99 and +20 for 20, and ended with an IllegalStateException at -20, where its callers expect a response or an unknown outcome. It took names with blanks or control bytes and values with NUL or CR. A length or transfer coding that the client does not know made it read up to the close: "Content-Length: -1", or "gzip, chunked" with the chunks in the body. An update that the object service answered with a broken 409 counted as a conflict, hence as not stored.

Cause: OkHttp is lenient in what it takes for a head, and nothing looked at what it gave.

Not covered: "ICY 200 OK", which OkHttp reads as HTTP/1.0 and does not report.

--- a/daemon/src/main/java/org/mustardlatch/daemon/store/ObjectStoreClient.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/store/ObjectStoreClient.java
@@ -20,6 +20,7 @@
 import okhttp3.Response;
 import org.mustardlatch.core.time.TimerService;
 import org.mustardlatch.core.time.TimerSubscription;
+import org.mustardlatch.daemon.http.ResponseValidator;
 
 /**
  * Asynchronous client of the object service. No method blocks. Futures complete on a thread of the
@@ -60,6 +61,7 @@
             .retryOnConnectionFailure(false)
             .followRedirects(false)
             .eventListenerFactory(SentTracker::of)
+            .addNetworkInterceptor(new ResponseValidator())
             .build();
     watchHttp =
         http.newBuilder().callTimeout(Duration.ZERO).readTimeout(timeouts.watchIdle()).build();
--- a/daemon/src/main/java/org/mustardlatch/daemon/upstream/UpstreamHosts.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/upstream/UpstreamHosts.java
@@ -9,6 +9,7 @@
 import org.mustardlatch.core.manifest.Manifest;
 import org.mustardlatch.core.manifest.Upstream;
 import org.mustardlatch.core.model.UpstreamId;
+import org.mustardlatch.daemon.http.ResponseValidator;
 
 /**
  * The upstreams of all manifests applied since the node started. An upstream that a later manifest
@@ -27,6 +28,7 @@
           .writeTimeout(Duration.ofSeconds(10))
           .followRedirects(false)
           .retryOnConnectionFailure(false)
+          .addNetworkInterceptor(new ResponseValidator())
           .build();
 
   /** Adds the upstreams of a manifest, and replaces those whose URL changed. */
--- a/daemon/src/test/java/org/mustardlatch/daemon/store/ObjectStoreClientTest.java
+++ b/daemon/src/test/java/org/mustardlatch/daemon/store/ObjectStoreClientTest.java
@@ -1,9 +1,14 @@
 package org.mustardlatch.daemon.store;
 
 import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.UTF_8;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.net.URI;
 import java.time.Duration;
 import java.util.concurrent.BlockingQueue;
@@ -13,6 +18,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.mustardlatch.core.time.TimerSubscription;
 import org.mustardlatch.daemon.node.EventLoop;
 import org.mustardlatch.standin.ObjectServiceFaults;
@@ -117,6 +124,32 @@
     assertThat(result).isEqualTo(new WriteResult.Refused("status 413", true, Duration.ZERO));
   }
 
+  /** Only a valid response tells that the object was not stored. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {"HTTP/1.1 409 Conflict\r\nNa me: 1", "HTTP/1.1 099 Odd", "HTTP/1.1 -20 Odd"})
+  void updateWithABrokenResponseIsUnknown(String head) throws Exception {
+    try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        ObjectStoreClient broken =
+            new ObjectStoreClient(
+                URI.create("http://127.0.0.1:" + server.getLocalPort()), TIMEOUTS, timers)) {
+      Thread.ofVirtual().start(() -> respond(server, head + "\r\nContent-Length: 0\r\n\r\n"));
+
+      assertThat(get(broken.put("test", "one", "", text("a"))))
+          .isInstanceOf(WriteResult.Unknown.class);
+    }
+  }
+
+  /** Writes a response to the first connection and keeps it until the client closes it. */
+  private static void respond(ServerSocket server, String response) {
+    try (Socket s = server.accept()) {
+      s.getOutputStream().write(response.getBytes(UTF_8));
+      var unused = s.getInputStream().readAllBytes();
+    } catch (IOException e) {
+      throw new AssertionError(e);
+    }
+  }
+
   @Test
   void watchContinuesAfterAnOutageWithTheLatestVersion() throws Exception {
     BlockingQueue<StoredObject> seen = new LinkedBlockingQueue<>();
