--- a/daemon/src/test/java/org/mustardlatch/daemon/upstream/RawService.java
+++ b/daemon/src/test/java/org/mustardlatch/daemon/upstream/RawService.java
@@ -4,6 +4,7 @@
 
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.URI;
@@ -36,7 +37,10 @@
   private final ApplicationClient client;
 
   RawService() throws IOException {
-    server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+    server = new ServerSocket();
+    // Small, so that a client can't write a long request before it is read.
+    server.setReceiveBufferSize(4_096);
+    server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
     UpstreamHosts hosts = new UpstreamHosts();
     hosts.apply(manifest(URI.create("http://127.0.0.1:" + server.getLocalPort())));
     client = new ApplicationClient(hosts);
