Say in the log what is invalid in a response, and document the broken ones

What ResponseDecoder itself rejects is named now, in constant words; messages of the codec may hold bytes of the response and stay out of the log.

--- a/gateway/src/main/java/org/mustardlatch/gateway/http/ResponseDecoder.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/http/ResponseDecoder.java
@@ -71,7 +71,7 @@
 
   private static void requireMatch(Pattern pattern, String part, String name) {
     if (!pattern.matcher(part).matches()) {
-      throw new IllegalArgumentException("invalid " + name);
+      throw new InvalidHeadException("invalid " + name);
     }
   }
 
@@ -82,15 +82,15 @@
   @Override
   protected AsciiString splitHeaderName(byte[] line, int start, int length) {
     if (line[start + length] != ':') {
-      throw new IllegalArgumentException("blank in the name of a header field");
+      throw new InvalidHeadException("blank in the name of a header field");
     }
     return super.splitHeaderName(line, start, length);
   }
 
   /**
-   * Rejects a head with a line that begins with a blank or with an unsupported transfer coding. The
-   * decoder itself appends such a line to the value of the field before (RFC 9112, section 5.2,
-   * allows either), and leaves codings other than chunked to its user.
+   * Rejects a head with a folded line, or with a transfer coding that can't be decoded. The decoder
+   * itself appends a line that begins with a blank to the value of the field before (RFC 9112,
+   * section 5.2, allows either), and ignores codings other than chunked.
    */
   @Override
   protected void decode(ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out)
@@ -114,7 +114,7 @@
   }
 
   private static void reject(HttpResponse response, String reason) {
-    response.setDecoderResult(DecoderResult.failure(new IllegalArgumentException(reason)));
+    response.setDecoderResult(DecoderResult.failure(new InvalidHeadException(reason)));
   }
 
   /** Returns whether one of the lines between an index and the reader index begins with a blank. */
@@ -134,4 +134,13 @@
   protected boolean isContentAlwaysEmpty(HttpMessage message) {
     return noBody || super.isContentAlwaysEmpty(message);
   }
+
+  /** Tells what is invalid in a head, in words that hold none of its bytes. */
+  static final class InvalidHeadException extends IllegalArgumentException {
+    private static final long serialVersionUID = 1;
+
+    private InvalidHeadException(String message) {
+      super(message);
+    }
+  }
 }
--- a/gateway/src/main/java/org/mustardlatch/gateway/http/UpstreamConnection.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/http/UpstreamConnection.java
@@ -228,7 +228,7 @@
   private void handleHead(HttpResponse r) {
     Call c = call;
     if (r.decoderResult().isFailure()) {
-      failCall(CallFailure.GARBLED, "no HTTP response");
+      failCall(CallFailure.GARBLED, "no HTTP response" + detail(r.decoderResult().cause()));
       return;
     }
     if (c == null) {
@@ -254,6 +254,11 @@
     c.listener().headReceived(r);
   }
 
+  /** Returns what is invalid; other messages may hold bytes of the response, and are left out. */
+  private static String detail(Throwable cause) {
+    return cause instanceof ResponseDecoder.InvalidHeadException ? ": " + cause.getMessage() : "";
+  }
+
   private void skipped(HttpResponse r, boolean interim) {
     if (!interim) {
       // The connection carried a response to another request, so it is not reused.
--- a/gateway/src/test/java/org/mustardlatch/gateway/http/ResponseDecoderTest.java
+++ b/gateway/src/test/java/org/mustardlatch/gateway/http/ResponseDecoderTest.java
@@ -7,9 +7,11 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.ReferenceCountUtil;
+import java.util.Objects;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against a head whose check depends on how its bytes arrive. */
@@ -74,4 +76,19 @@
       assertThat(rejects(interim + HEAD + " folded\r\n" + END, length)).isTrue();
     }
   }
+
+  @ParameterizedTest
+  @CsvSource({
+    "HTTP/1.1 000 OK,invalid status",
+    "HTTP/2.0 200 OK,invalid version",
+    "HTTP/1.1 200 OK;Na me: 1,blank in the name of a header field",
+    "HTTP/1.1 200 OK;A: 1; folded,folded header field",
+    "HTTP/1.1 200 OK;Transfer-Encoding: gzip,unsupported transfer coding"
+  })
+  void failureSaysWhatIsInvalid(String lines, String message) {
+    HttpResponse head =
+        Objects.requireNonNull(decode(lines.replace(";", "\r\n") + "\r\n\r\n", 1_000));
+
+    assertThat(head.decoderResult().cause()).hasMessageThat().isEqualTo(message);
+  }
 }
