Watch for changes from the first page of a list

Cause: the pages of a list show the store at one revision each, and the watch started from that of the last page. A change between two pages was neither in the list nor in the watch. The same at each list after an expired history or a restored store, and for both kinds that are listed; a removal was missed for good.

Change: the watch starts from the revision of the first page. PagedList drops the repeated changes that later pages already show, by the revision of the listed object, or of the page for an object that it does not show; a removal may state the revision of the change before it and is ordered by the listed change. An interrupted list goes on with its next page, and lists whose history expires before the first watch are repeated with a growing delay instead of at once.

--- a/gateway/src/main/java/org/mustardlatch/gateway/store/StoreResponse.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/store/StoreResponse.java
@@ -44,18 +44,29 @@
     /** Returns the name of the object. */
     String name();
 
+    /**
+     * Returns the revision of the store at this change; 0 if not stated. That of a removal may be
+     * the one of the object's last change before it.
+     */
+    long revision();
+
     /** An object was created or replaced. */
     record Put<T>(StoredEntry<T> entry) implements Change<T> {
       @Override
       public String name() {
         return entry.name();
       }
+
+      @Override
+      public long revision() {
+        return entry.revision();
+      }
     }
 
     /** An object was created or replaced with content that could not be decoded. */
-    record Unreadable<T>(String name) implements Change<T> {}
+    record Unreadable<T>(String name, long revision) implements Change<T> {}
 
     /** An object was removed. */
-    record Removed<T>(String name) implements Change<T> {}
+    record Removed<T>(String name, long revision) implements Change<T> {}
   }
 }
--- a/gateway/src/main/java/org/mustardlatch/gateway/store/StoreWatcher.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/store/StoreWatcher.java
@@ -1,16 +1,16 @@
 package org.mustardlatch.gateway.store;
 
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.List;
+import java.util.Objects;
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
 import org.mustardlatch.core.time.TimerService;
 
 /**
- * Follows the objects of one kind: lists them once and watches for changes from that revision.
- * After an error it resumes from the last revision; it lists again if the history has expired or
- * the store was restored from an earlier copy. Used on the thread of the timer service.
+ * Follows the objects of one kind: lists them once and watches for changes from the revision of the
+ * list's first page, so that none between two pages is missed. After an error it resumes with the
+ * next page or from the last revision; it lists again if the history has expired or the store was
+ * restored from an earlier copy. Used on the thread of the timer service.
  */
 public final class StoreWatcher<T> {
   // Each call is billed, which favors a long wait. But a silently broken connection is only
@@ -24,10 +24,13 @@
   private final StoreReader<T> reader;
   private final StoreListener<T> listener;
   private final RandomGenerator random;
-  private List<StoredEntry<T>> listedEntries = new ArrayList<>();
-  private List<String> listedUnreadable = new ArrayList<>();
-  private @Nullable Long revision;
+
+  /** The last list; null once the watch has passed the revisions of all its pages. */
+  private @Nullable PagedList<T> list = new PagedList<>();
+
+  private long revision;
   private int consecutiveFailures;
+  private int restartsSinceLastWatch;
   private boolean everReachable;
   private boolean stopped;
 
@@ -45,7 +48,7 @@
 
   /** Starts to list and watch the objects. */
   public void start() {
-    list(null);
+    resume();
   }
 
   /** Stops the watcher; responses that arrive later are ignored. */
@@ -53,23 +56,33 @@
     stopped = true;
   }
 
-  private void list(@Nullable String after) {
-    if (after == null) {
-      listedEntries = new ArrayList<>();
-      listedUnreadable = new ArrayList<>();
+  private void resume() {
+    if (stopped) {
+      return;
+    }
+    if (list == null || list.isComplete()) {
+      reader.watch(revision, WATCH_WAIT, this::handleResponse);
+    } else {
+      reader.list(list.nextPageAfter(), this::handleResponse);
     }
-    reader.list(after, this::handleResponse);
   }
 
-  private void watch() {
-    Long from = revision;
-    if (from == null) {
-      list(null);
+  /** Lists all objects again; delayed if no watch has succeeded since the last restart. */
+  private void restartList() {
+    list = new PagedList<>();
+    restartsSinceLastWatch++;
+    if (restartsSinceLastWatch == 1) {
+      resume();
     } else {
-      reader.watch(from, WATCH_WAIT, this::handleResponse);
+      timers.schedule(backoff(restartsSinceLastWatch - 2), this::resume);
     }
   }
 
+  private Duration backoff(int failures) {
+    long base = FIRST_BACKOFF.toNanos() << Math.min(MAX_BACKOFF_DOUBLINGS, failures);
+    return Duration.ofNanos(base / 2 + random.nextLong(base));
+  }
+
   private void handleResponse(StoreResponse<T> response) {
     if (stopped) {
       return;
@@ -83,39 +96,48 @@
     }
     switch (response) {
       case StoreResponse.Page<T> page -> {
-        listedEntries.addAll(page.entries());
-        listedUnreadable.addAll(page.unreadable());
-        if (page.nextPageAfter() == null) {
-          revision = page.revision();
-          listener.objectsListed(List.copyOf(listedEntries), List.copyOf(listedUnreadable));
-          watch();
-        } else {
-          list(page.nextPageAfter());
-        }
+        addPage(page);
+        resume();
       }
       case StoreResponse.Changes<T> changes -> {
-        changes.changes().forEach(listener::objectChanged);
-        revision = changes.revision();
-        watch();
-      }
-      case StoreResponse.HistoryExpired<T> expired -> {
-        revision = null;
-        list(null);
+        restartsSinceLastWatch = 0;
+        passOn(changes);
+        resume();
       }
+      case StoreResponse.HistoryExpired<T> expired -> restartList();
       case StoreResponse.Restored<T> restored -> {
         listener.storeRestored();
-        revision = null;
-        list(null);
+        restartList();
       }
       case StoreResponse.Unavailable<T> u -> {
         if (consecutiveFailures == 0) {
           listener.storeUnreachable(u.reason());
         }
-        long base = FIRST_BACKOFF.toNanos() << Math.min(MAX_BACKOFF_DOUBLINGS, consecutiveFailures);
+        timers.schedule(backoff(consecutiveFailures), this::resume);
         consecutiveFailures++;
-        long delay = base / 2 + random.nextLong(base);
-        timers.schedule(Duration.ofNanos(delay), this::watch);
       }
     }
   }
+
+  private void addPage(StoreResponse.Page<T> page) {
+    PagedList<T> l = Objects.requireNonNull(list);
+    l.add(page);
+    if (l.isComplete()) {
+      revision = l.watchRevision();
+      listener.objectsListed(l.entries(), l.unreadable());
+    }
+  }
+
+  private void passOn(StoreResponse.Changes<T> changes) {
+    PagedList<T> l = list;
+    for (StoreResponse.Change<T> c : changes.changes()) {
+      if (l == null || !l.isNewerThan(c)) {
+        listener.objectChanged(c);
+      }
+    }
+    revision = changes.revision();
+    if (l != null && l.isCoveredBy(revision)) {
+      list = null;
+    }
+  }
 }
--- a/gateway/src/main/java/org/mustardlatch/gateway/store/StoredEntry.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/store/StoredEntry.java
@@ -5,5 +5,6 @@
  *
  * @param name name of the object
  * @param content decoded content of the object
+ * @param revision revision of the store at the object's last change; 0 if not stated
  */
-public record StoredEntry<T>(String name, T content) {}
+public record StoredEntry<T>(String name, T content, long revision) {}
--- a/gateway/src/test/java/org/mustardlatch/gateway/TestGateway.java
+++ b/gateway/src/test/java/org/mustardlatch/gateway/TestGateway.java
@@ -114,7 +114,7 @@
                 .configurationListener()
                 .objectsListed(
                     List.of(
-                        new StoredEntry<>("main", configuration(maxReservationTtl, workspaces))),
+                        new StoredEntry<>("main", configuration(maxReservationTtl, workspaces), 1)),
                     List.of()));
   }
 
@@ -196,7 +196,8 @@
             fleet
                 .instanceListener()
                 .objectsListed(
-                    instances.stream().map(i -> new StoredEntry<>(i.id(), i)).toList(), List.of()));
+                    instances.stream().map(i -> new StoredEntry<>(i.id(), i, 1)).toList(),
+                    List.of()));
   }
 
   private void runOnEventLoop(Runnable task) throws Exception {
--- a/gateway/src/test/java/org/mustardlatch/gateway/store/StoreWatcherTest.java
+++ b/gateway/src/test/java/org/mustardlatch/gateway/store/StoreWatcherTest.java
@@ -69,11 +69,16 @@
   }
 
   private static StoreResponse.Page<String> page(@Nullable String after, String... names) {
+    return pageAt(7, after, names);
+  }
+
+  private static StoreResponse.Page<String> pageAt(
+      long revision, @Nullable String after, String... names) {
     List<StoredEntry<String>> entries = new ArrayList<>();
     for (String n : names) {
-      entries.add(new StoredEntry<>(n, n));
+      entries.add(new StoredEntry<>(n, n, 1));
     }
-    return new StoreResponse.Page<>(entries, List.of(), after, 7);
+    return new StoreResponse.Page<>(entries, List.of(), after, revision);
   }
 
   @Test
@@ -91,7 +96,7 @@
     pendingConsumer.accept(new StoreResponse.Unavailable<>("status 503"));
     timers.advance(Duration.ofSeconds(1));
     pendingConsumer.accept(
-        new StoreResponse.Changes<>(List.of(new StoreResponse.Change.Removed<>("a")), 9));
+        new StoreResponse.Changes<>(List.of(new StoreResponse.Change.Removed<>("a", 8)), 9));
 
     assertThat(notifications)
         .containsExactly(
@@ -122,6 +127,53 @@
         .inOrder();
   }
 
+  // Guards against a change between two pages that a node never learns of.
+  @Test
+  void watchesFromTheRevisionOfTheFirstPage() {
+    pendingConsumer.accept(pageAt(7, "b", "a", "b"));
+    pendingConsumer.accept(pageAt(9, null, "c"));
+
+    assertThat(readerCalls).containsExactly("list null", "list b", "watch 7").inOrder();
+  }
+
+  @Test
+  void continuesAListWithItsNextPageAfterAnOutage() {
+    pendingConsumer.accept(page("b", "a", "b"));
+    pendingConsumer.accept(new StoreResponse.Unavailable<>("status 503"));
+    timers.advance(Duration.ofSeconds(1));
+    pendingConsumer.accept(page(null, "c"));
+
+    assertThat(notifications).contains("listed [a, b, c]");
+    assertThat(readerCalls).containsExactly("list null", "list b", "list b", "watch 7").inOrder();
+  }
+
+  @Test
+  void startsAListAgainWhenTheStoreWasRestoredBetweenItsPages() {
+    pendingConsumer.accept(page("b", "a", "b"));
+    pendingConsumer.accept(new StoreResponse.Restored<>());
+    pendingConsumer.accept(page(null, "c"));
+
+    assertThat(notifications)
+        .containsExactly("reachable false", "restored", "listed [c]")
+        .inOrder();
+    assertThat(readerCalls)
+        .containsExactly("list null", "list b", "list null", "watch 7")
+        .inOrder();
+  }
+
+  @Test
+  void delaysFurtherListsWhileTheHistoryExpiresBeforeTheFirstWatch() {
+    pendingConsumer.accept(page(null, "a"));
+    pendingConsumer.accept(new StoreResponse.HistoryExpired<>());
+    pendingConsumer.accept(page(null, "a"));
+    readerCalls.clear();
+
+    pendingConsumer.accept(new StoreResponse.HistoryExpired<>());
+    assertThat(readerCalls).isEmpty();
+    timers.advance(Duration.ofMillis(150));
+    assertThat(readerCalls).containsExactly("list null");
+  }
+
   @Test
   void limitsTheWatchWaitToDetectASilentConnection() {
     pendingConsumer.accept(page(null, "a"));
