Accept any name of services, upstreams, zones and workspaces

Cause: the manifest made the identifier of a model from the service's name in lower case. Elsewhere the same names were refused: servers whose name or zone was no identifier were never used, a node with such a name or zone did not start, and a subject of the decision log with the name of an upstream of 55 characters threw.

Change: Identifiers.of gives each name an identifier of its own, the name or a digest. Names are checked without a regular expression.

--- a/core/src/main/java/org/mustardlatch/core/routing/UpstreamLimits.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/UpstreamLimits.java
@@ -8,6 +8,7 @@
 import org.mustardlatch.core.budget.BudgetTerms;
 import org.mustardlatch.core.budget.OwnedBudget;
 import org.mustardlatch.core.model.HostId;
+import org.mustardlatch.core.model.Identifiers;
 import org.mustardlatch.core.model.RequestId;
 import org.mustardlatch.core.model.UpstreamId;
 import org.mustardlatch.core.peer.EvidenceMessage.RateLimitNotice;
@@ -159,7 +160,7 @@
       String limit =
           requestsPerSecond.isPresent() ? requestsPerSecond.getAsDouble() + "/s" : "none";
       commands.explain(
-          new RequestId("upstream-" + upstream), rule, "limit=" + limit + " from " + source);
+          new RequestId(Identifiers.of("upstream-" + upstream)), rule, "limit=" + limit + " from " + source);
     }
     return changed;
   }
--- a/gateway/src/main/java/org/mustardlatch/gateway/ApplicationRequestHandler.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/ApplicationRequestHandler.java
@@ -140,7 +140,7 @@
     for (Instance i : fleet.instancesForNewWork(request.exchange.service().name())) {
       result.add(
           new Candidate(
-              new UpstreamId(i.id()), i.slots(), networkLatency.roundTripNanos(i.zone())));
+              i.upstreamId(), i.slots(), networkLatency.roundTripNanos(i.zoneId())));
     }
     return result;
   }
@@ -288,7 +288,7 @@
 
     private void sendTo(@Nullable Candidate c) {
       long now = timers.nanos();
-      Instance target = c == null ? null : fleet.instance(c.id().value());
+      Instance target = c == null ? null : fleet.instance(c.id());
       if (c == null || target == null) {
         failIfNoActiveAttempt(ErrorCode.UPSTREAM_UNAVAILABLE, "no upstream left");
         return;
@@ -625,7 +625,7 @@
         super(fleet.buffers());
         this.isHedge = isHedge;
         this.target = target;
-        this.upstream = new UpstreamId(target.id());
+        this.upstream = target.upstreamId();
         this.sentNanos = sentNanos;
       }
 
@@ -685,6 +685,6 @@
   /** Drops the balancer's state of upstreams that were removed. */
   void onFleetChange() {
     balancer.retainOnly(
-        fleet.instances().stream().map(i -> new UpstreamId(i.id())).collect(Collectors.toSet()));
+        fleet.instances().stream().map(i -> i.upstreamId()).collect(Collectors.toSet()));
   }
 }
--- a/gateway/src/main/java/org/mustardlatch/gateway/CrashDetector.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/CrashDetector.java
@@ -9,7 +9,6 @@
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.mustardlatch.core.model.Fingerprint;
-import org.mustardlatch.core.model.UpstreamId;
 import org.mustardlatch.core.routing.RoutingEvent;
 import org.mustardlatch.core.time.TimerService;
 import org.mustardlatch.gateway.config.Instance;
@@ -182,7 +181,7 @@
     if (!running.isEmpty()) {
       router.accept(
           new RoutingEvent.UpstreamCrashed(
-              new UpstreamId(target.id()),
+              target.upstreamId(),
               target.id() + "/" + target.startedMillis(),
               running.stream().distinct().toList(),
               lastSentNanos,
--- a/gateway/src/main/java/org/mustardlatch/gateway/EngineCalls.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/EngineCalls.java
@@ -9,7 +9,6 @@
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.mustardlatch.core.model.AttemptId;
-import org.mustardlatch.core.model.UpstreamId;
 import org.mustardlatch.core.routing.Failure;
 import org.mustardlatch.core.routing.KvHandle;
 import org.mustardlatch.core.routing.RoutingCommand;
@@ -86,7 +85,7 @@
 
   /** Requests a reservation of a slot and KV memory at an engine. */
   void reserve(GenerationStream s, RoutingCommand.ReserveEngine c) {
-    Instance target = fleet.instance(c.upstream().value());
+    Instance target = fleet.instance(c.upstream());
     if (target == null) {
       emit(new RoutingEvent.EngineReservationFailed(c.attempt(), Failure.REFUSED));
       return;
@@ -122,7 +121,7 @@
 
   /** Starts a prefill, or skips it if the target is a decode engine that processes the prompt. */
   void startPrefill(GenerationStream s, RoutingCommand.StartPrefill c) {
-    Instance target = fleet.instance(c.upstream().value());
+    Instance target = fleet.instance(c.upstream());
     if (target == null) {
       emit(new RoutingEvent.PrefillFailed(c.attempt(), Failure.REFUSED));
     } else if (target.stage() == EngineStage.DECODE) {
@@ -145,8 +144,8 @@
 
   /** Starts a decode, from the KV cache of a prefill engine or from the prompt itself. */
   void startDecode(GenerationStream s, RoutingCommand.StartDecode c) {
-    Instance target = fleet.instance(c.upstream().value());
-    Instance source = fleet.instance(c.handle().source().value());
+    Instance target = fleet.instance(c.upstream());
+    Instance source = fleet.instance(c.handle().source());
     if (target == null || source == null) {
       emit(new RoutingEvent.DecodeFailed(c.attempt(), Failure.REFUSED));
       return;
@@ -215,7 +214,7 @@
    * which has exported no KV cache.
    */
   void releaseKv(KvHandle handle) {
-    Instance source = fleet.instance(handle.source().value());
+    Instance source = fleet.instance(handle.source());
     if (source == null || source.stage() != EngineStage.PREFILL) {
       return;
     }
@@ -342,7 +341,7 @@
           source.id(),
           kv.tokens(),
           (timers.nanos() - sentNanos) / 1_000_000);
-      return new KvHandle(new UpstreamId(source.id()), kv.reference(), bytes, expires);
+      return new KvHandle(source.upstreamId(), kv.reference(), bytes, expires);
     }
 
     @Override
--- a/gateway/src/main/java/org/mustardlatch/gateway/FleetManifest.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/FleetManifest.java
@@ -7,9 +7,7 @@
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
-import java.util.regex.Pattern;
 import org.jspecify.annotations.Nullable;
 import org.mustardlatch.core.manifest.CrossRegionLink;
 import org.mustardlatch.core.manifest.LedgerPolicy;
@@ -22,9 +20,9 @@
 import org.mustardlatch.core.manifest.UpstreamRole;
 import org.mustardlatch.core.manifest.Workspace;
 import org.mustardlatch.core.model.Fingerprint;
+import org.mustardlatch.core.model.Identifiers;
 import org.mustardlatch.core.model.ModelId;
 import org.mustardlatch.core.model.RegionId;
-import org.mustardlatch.core.model.UpstreamId;
 import org.mustardlatch.core.model.WorkspaceId;
 import org.mustardlatch.core.model.ZoneId;
 import org.mustardlatch.gateway.config.EngineSpec;
@@ -36,7 +34,7 @@
 
 /**
  * Builds the manifest that routing decisions use from the active configuration and the registered
- * engines. Also derives the model name, the prefix block hashes and the fingerprint of a request.
+ * engines. Also derives the model id, the prefix block hashes and the fingerprint of a request.
  */
 final class FleetManifest {
   // Engines allocate KV memory in blocks of a few tokens.
@@ -59,8 +57,6 @@
   // smaller share of the capacity than those that can still meet the target.
   private static final double LATE_WORKSPACE_WEIGHT = 0.5;
 
-  private static final Pattern VALID_NAME = Pattern.compile("[a-z0-9][a-z0-9._-]{0,62}");
-
   private FleetManifest() {}
 
   /** Returns a manifest of all engines, or null if no configuration has been received yet. */
@@ -115,7 +111,7 @@
       }
     }
     return new Model(
-        new ModelId(modelName(s.name())),
+        modelId(s.name()),
         firstTokenTarget,
         DEFAULT_TOKEN_GAP_TARGET,
         engine.kvCapacityTokens(),
@@ -128,10 +124,10 @@
     boolean prefill = i.stage() == EngineStage.PREFILL;
     int rate = DEFAULT_PREFILL_TOKENS_PER_SECOND;
     return new Upstream(
-        new UpstreamId(i.id()),
+        i.upstreamId(),
         prefill ? UpstreamRole.PREFILL : UpstreamRole.DECODE_WITH_PROMPT,
-        new ModelId(modelName(i.service())),
-        new ZoneId(i.zone()),
+        modelId(i.service()),
+        i.zoneId(),
         URI.create("http://" + i.address().getHostString() + ":" + i.address().getPort()),
         i.slots(),
         // An engine of the decode pool processes prompts at half the speed of a prefill engine.
@@ -141,23 +137,14 @@
         i.leaving());
   }
 
-  /**
-   * Returns the identifier of a workspace for fair queueing. A name that is not valid as an
-   * identifier is replaced by its digest.
-   */
+  /** Returns the identifier of a workspace for fair queueing. */
   static WorkspaceId workspaceId(String name) {
-    return new WorkspaceId(
-        VALID_NAME.matcher(name).matches()
-            ? name
-            : Hashing.sha256()
-                .hashString(name, StandardCharsets.UTF_8)
-                .toString()
-                .substring(0, 40));
+    return new WorkspaceId(Identifiers.of(name));
   }
 
-  /** Returns the model name of a service in the manifest. */
-  static String modelName(String service) {
-    return service.toLowerCase(Locale.ROOT);
+  /** Returns the identifier of the model that a service serves. */
+  static ModelId modelId(String service) {
+    return new ModelId(Identifiers.of(service));
   }
 
   /**
--- a/gateway/src/main/java/org/mustardlatch/gateway/FleetState.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/FleetState.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.function.BiConsumer;
 import org.jspecify.annotations.Nullable;
+import org.mustardlatch.core.model.UpstreamId;
 import org.mustardlatch.core.time.TimerService;
 import org.mustardlatch.gateway.config.GatewayConfiguration;
 import org.mustardlatch.gateway.config.Instance;
@@ -120,11 +121,16 @@
     return result;
   }
 
-  /** Returns the upstream with this id, or null. */
+  /** Returns the upstream that registered under this name, or null. */
   public @Nullable Instance instance(String id) {
     return table.get(id);
   }
 
+  /** Returns the upstream with this identifier, or null. */
+  @Nullable Instance instance(UpstreamId id) {
+    return table.get(id);
+  }
+
   /** Returns all registered upstreams. */
   public Collection<Instance> instances() {
     return table.all();
--- a/gateway/src/main/java/org/mustardlatch/gateway/Gateway.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/Gateway.java
@@ -13,7 +13,6 @@
 import org.jspecify.annotations.Nullable;
 import org.mustardlatch.core.error.ErrorCode;
 import org.mustardlatch.core.lifecycle.PlannedStop;
-import org.mustardlatch.core.model.UpstreamId;
 import org.mustardlatch.core.routing.RoutingEvent;
 import org.mustardlatch.core.time.TimerService;
 import org.mustardlatch.gateway.config.CallerLimits;
@@ -146,13 +145,13 @@
     }
     // Only answers to requests tell that an upstream no longer states a limit.
     if (metadata.requestsPerSecond().isPresent() || metadata.requestId() != null) {
-      generationHandler.limitStated(new UpstreamId(target.id()), metadata.requestsPerSecond());
+      generationHandler.limitStated(target.upstreamId(), metadata.requestsPerSecond());
     }
     Duration pause = metadata.pause();
     if (pause != null) {
       EventLog.log(LogEvent.UPSTREAM_PAUSED, target.id(), pause.toMillis());
       fleet.pause(target, pause);
-      var event = new RoutingEvent.UpstreamPaused(new UpstreamId(target.id()), pause);
+      var event = new RoutingEvent.UpstreamPaused(target.upstreamId(), pause);
       timers.schedule(Duration.ZERO, () -> generationHandler.handle(event));
     }
   }
--- a/gateway/src/main/java/org/mustardlatch/gateway/GenerationRequestHandler.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/GenerationRequestHandler.java
@@ -13,7 +13,6 @@
 import org.mustardlatch.core.error.ErrorCode;
 import org.mustardlatch.core.model.AttemptId;
 import org.mustardlatch.core.model.Fingerprint;
-import org.mustardlatch.core.model.ModelId;
 import org.mustardlatch.core.model.RequestId;
 import org.mustardlatch.core.model.UpstreamId;
 import org.mustardlatch.core.model.WorkspaceId;
@@ -212,7 +211,7 @@
         new GenerationRequest(
             new RequestId(exchange.localId()),
             workspace(exchange, waitsWhenLate, late),
-            new ModelId(FleetManifest.modelName(exchange.service().name())),
+            FleetManifest.modelId(exchange.service().name()),
             Math.max(1, metadata.promptTokens()),
             Math.max(1, metadata.maxOutputTokens()),
             exchange.caller().body().heldLength(),
--- a/gateway/src/main/java/org/mustardlatch/gateway/NetworkLatencyEstimates.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/NetworkLatencyEstimates.java
@@ -23,8 +23,7 @@
   }
 
   /** Returns the estimated round-trip time to an availability zone, nanoseconds. */
-  long roundTripNanos(String zoneName) {
-    ZoneId other = new ZoneId(zoneName);
+  long roundTripNanos(ZoneId other) {
     if (other.equals(zone)) {
       return SAME_ZONE_NANOS;
     }
--- a/gateway/src/main/java/org/mustardlatch/gateway/config/Instance.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/config/Instance.java
@@ -2,11 +2,15 @@
 
 import java.net.InetSocketAddress;
 import org.jspecify.annotations.Nullable;
+import org.mustardlatch.core.model.Identifiers;
+import org.mustardlatch.core.model.UpstreamId;
+import org.mustardlatch.core.model.ZoneId;
 
 /**
  * One run of an upstream process, identified by its id, start time and address.
  *
- * @param id name under which the upstream registered; a restarted process may use it again
+ * @param id name under which the upstream registered, of any characters; a restarted process may
+ *     use it again
  * @param startedMillis start time in Unix milliseconds; 0 if not reported
  * @param service name of the service that it belongs to
  * @param address address on which it listens
@@ -24,6 +28,16 @@
     int slots,
     boolean leaving,
     @Nullable EngineStage stage) {
+  /** Returns the identifier of the upstream in routing decisions and messages to peers. */
+  public UpstreamId upstreamId() {
+    return new UpstreamId(Identifiers.of(id));
+  }
+
+  /** Returns the identifier of its availability zone. */
+  public ZoneId zoneId() {
+    return new ZoneId(Identifiers.of(zone));
+  }
+
   /** Returns the same upstream, leaving. */
   public Instance asLeaving() {
     return new Instance(id, startedMillis, service, address, zone, slots, true, stage);
--- a/gateway/src/main/java/org/mustardlatch/gateway/config/InstanceTable.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/config/InstanceTable.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
+import org.mustardlatch.core.model.UpstreamId;
 
 /**
  * The registered upstreams as last read from the store. Entries that disappear because the store
@@ -26,6 +27,7 @@
   private record Removal(Instance instance, long nanos) {}
 
   private final Map<String, Instance> instances = new HashMap<>();
+  private final Map<UpstreamId, Instance> byUpstreamId = new HashMap<>();
   private final Map<String, Removal> recentRemovals = new HashMap<>();
   private final Map<String, Long> removalDeadlines = new HashMap<>();
   private boolean storeUnreachable = true;
@@ -37,11 +39,16 @@
     return instances.values();
   }
 
-  /** Returns the upstream with the given id, or null if there is none. */
+  /** Returns the upstream that registered under a name, or null if there is none. */
   public @Nullable Instance get(String id) {
     return instances.get(id);
   }
 
+  /** Returns the upstream with the given identifier, or null if there is none. */
+  public @Nullable Instance get(UpstreamId id) {
+    return byUpstreamId.get(id);
+  }
+
   /** Records that the store is unreachable. */
   public void storeBecameUnreachable() {
     storeUnreachable = true;
@@ -102,7 +109,9 @@
     boolean leaving = known != null && known.leaving() && known.isSameProcess(instance);
     removalDeadlines.remove(instance.id());
     recentRemovals.remove(instance.id());
-    instances.put(instance.id(), leaving ? instance.asLeaving() : instance);
+    Instance next = leaving ? instance.asLeaving() : instance;
+    instances.put(next.id(), next);
+    byUpstreamId.put(next.upstreamId(), next);
   }
 
   /** Removes an upstream; the removal is delayed if the store has just recovered from an outage. */
@@ -118,18 +127,25 @@
   }
 
   private void drop(String id, long now) {
-    Instance dropped = instances.remove(id);
-    removalDeadlines.remove(id);
+    Instance dropped = take(id);
     dropOldRemovals(now);
     if (dropped != null) {
       recentRemovals.put(id, new Removal(dropped, now));
     }
   }
 
+  private @Nullable Instance take(String id) {
+    Instance taken = instances.remove(id);
+    removalDeadlines.remove(id);
+    if (taken != null) {
+      byUpstreamId.remove(taken.upstreamId());
+    }
+    return taken;
+  }
+
   /** Removes, without delay, an upstream whose entry has become unreadable. */
   public void discard(String id) {
-    instances.remove(id);
-    removalDeadlines.remove(id);
+    take(id);
   }
 
   /** Removes upstreams that did not register again in time; returns whether any were removed. */
--- a/gateway/src/test/java/org/mustardlatch/gateway/TestGateway.java
+++ b/gateway/src/test/java/org/mustardlatch/gateway/TestGateway.java
@@ -34,6 +34,7 @@
 import org.mustardlatch.gateway.config.RequestKind;
 import org.mustardlatch.gateway.config.ServiceWeight;
 import org.mustardlatch.gateway.http.NettyTimerService;
+import org.mustardlatch.gateway.store.StoreResponse;
 import org.mustardlatch.gateway.store.StoredEntry;
 
 /**
@@ -137,8 +138,17 @@
         CallerLimits.DEFAULT);
   }
 
-  private static GatewayRoute route(
-      String prefix, RequestKind kind, String service, boolean resumable) {
+  /** Applies a configuration without workspaces, as if the store had sent it. */
+  void applyConfiguration(long version, List<GatewayRoute> routes, List<GatewayService> services)
+      throws Exception {
+    var next =
+        new GatewayConfiguration(version, routes, services, List.of(), CallerLimits.DEFAULT);
+    var change = new StoreResponse.Change.Put<>(new StoredEntry<>("main", next, version));
+    runOnEventLoop(() -> fleet.configurationListener().objectChanged(change));
+  }
+
+  /** Returns a route to one service. */
+  static GatewayRoute route(String prefix, RequestKind kind, String service, boolean resumable) {
     return new GatewayRoute(
         prefix,
         "host",
@@ -177,11 +187,16 @@
   private TestGateway add(
       String id, String service, InetSocketAddress address, @Nullable EngineStage stage)
       throws Exception {
-    instances.add(new Instance(id, 1, service, address, "a", 8, false, stage));
-    listInstances();
+    add(new Instance(id, 1, service, address, "a", 8, false, stage));
     return this;
   }
 
+  /** Registers an upstream. */
+  void add(Instance instance) throws Exception {
+    instances.add(instance);
+    listInstances();
+  }
+
   /**
    * Removes the entry of an upstream, as the store does if the upstream does not report in time.
    */
