Read on after an exception of a listener of the store

Cause: StoreWatcher called its listener before it asked for the next changes, so that an exception ended the chain of reads. FleetState stopped at the first listener that failed, with the new version half in force.

Change: the watcher logs the exception and reads on. FleetState runs all its listeners; a version or an entry that makes one fail is taken back and what was in force stays, unless the listener fails without it too.

--- a/gateway/src/main/java/org/mustardlatch/gateway/FleetState.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/FleetState.java
@@ -161,8 +161,11 @@
     return pool;
   }
 
-  /** Closes the pools of removed or restarted upstreams and runs the listeners. */
-  private void closeStalePoolsAndNotify() {
+  /**
+   * Closes the pools of removed or restarted upstreams and runs the listeners; returns whether none
+   * threw an exception.
+   */
+  private boolean closeStalePoolsAndNotify() {
     for (String id : new ArrayList<>(pools.keySet())) {
       Instance i = table.get(id);
       PooledInstance p = pools.get(id);
@@ -171,7 +174,16 @@
         p.pool().close();
       }
     }
-    listeners.forEach(Runnable::run);
+    boolean accepted = true;
+    for (Runnable l : listeners) {
+      try {
+        l.run();
+      } catch (RuntimeException e) {
+        EventLog.log(LogEvent.UNEXPECTED_ERROR, "listener of the fleet's state", e);
+        accepted = false;
+      }
+    }
+    return accepted;
   }
 
   /** Schedules the removal of upstreams that do not register again in time after a store outage. */
@@ -224,8 +236,16 @@
         return;
       }
       configuration = next;
+      if (!FleetState.this.closeStalePoolsAndNotify()) {
+        configuration = current;
+        if (FleetState.this.closeStalePoolsAndNotify()) {
+          EventLog.log(LogEvent.CONFIGURATION_REFUSED, next.version());
+          return;
+        }
+        // Listeners fail without the version too.
+        configuration = next;
+      }
       EventLog.log(LogEvent.CONFIGURATION_APPLIED, next.version(), next.routes().size());
-      FleetState.this.closeStalePoolsAndNotify();
     }
 
     @Override
@@ -249,10 +269,39 @@
   private final class InstanceListener implements StoreListener<Instance> {
     @Override
     public void objectsListed(List<StoredEntry<Instance>> entries, List<String> unreadable) {
+      Map<String, Instance> before = new HashMap<>();
+      table.all().forEach(i -> before.put(i.id(), i));
       table.replace(entries.stream().map(StoredEntry::content).toList(), timers.nanos());
       EventLog.log(LogEvent.UPSTREAMS_LISTED, table.all().size());
       scheduleExpiry();
-      FleetState.this.closeStalePoolsAndNotify();
+      if (!FleetState.this.closeStalePoolsAndNotify()) {
+        List<Instance> changed =
+            table.all().stream().filter(i -> !i.equals(before.get(i.id()))).toList();
+        changed.forEach(i -> restore(i.id(), before.get(i.id())));
+        changed.forEach(this::putIfAccepted);
+      }
+    }
+
+    /** Puts an entry, unless it is what makes a listener fail. */
+    private void putIfAccepted(Instance next) {
+      Instance before = table.get(next.id());
+      table.put(next);
+      if (!FleetState.this.closeStalePoolsAndNotify()) {
+        restore(next.id(), before);
+        if (FleetState.this.closeStalePoolsAndNotify()) {
+          EventLog.log(LogEvent.UPSTREAM_REFUSED, next.id());
+        } else {
+          table.put(next);
+        }
+      }
+    }
+
+    private void restore(String id, @Nullable Instance before) {
+      if (before == null) {
+        table.discard(id);
+      } else {
+        table.put(before);
+      }
     }
 
     @Override
@@ -260,17 +309,20 @@
       switch (change) {
         case StoreResponse.Change.Put<Instance> p -> {
           Instance i = p.entry().content();
-          table.put(i);
           EventLog.log(LogEvent.UPSTREAM_ENTRY, i.id(), i.service(), i.zone(), i.leaving());
+          putIfAccepted(i);
+        }
+        case StoreResponse.Change.Unreadable<Instance> u -> {
+          table.discard(u.name());
+          FleetState.this.closeStalePoolsAndNotify();
         }
-        case StoreResponse.Change.Unreadable<Instance> u -> table.discard(u.name());
         case StoreResponse.Change.Removed<Instance> r -> {
           table.remove(r.name(), timers.nanos());
           EventLog.log(LogEvent.UPSTREAM_REMOVED, r.name());
           scheduleExpiry();
+          FleetState.this.closeStalePoolsAndNotify();
         }
       }
-      FleetState.this.closeStalePoolsAndNotify();
     }
 
     @Override
--- a/gateway/src/main/java/org/mustardlatch/gateway/log/LogEvent.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/log/LogEvent.java
@@ -41,6 +41,9 @@
   CONFIGURATION_APPLIED(8012, Level.INFO, "configuration in force version={} routes={}"),
   CONFIGURATION_OLD(8013, Level.INFO, "configuration ignored version={} in_force={}"),
   CONFIGURATION_UNREADABLE(8014, Level.WARN, "configuration unreadable object={}"),
+  CONFIGURATION_REFUSED(
+      8044, Level.ERROR, "configuration refused version={}; the one before stays in force"),
+  UPSTREAM_REFUSED(8045, Level.ERROR, "entry of upstream={} refused; the one before stays"),
   UPSTREAMS_LISTED(8015, Level.INFO, "upstreams listed known={}"),
   UPSTREAM_ENTRY(8016, Level.INFO, "upstream={} service={} zone={} leaving={}"),
   UPSTREAM_REMOVED(8018, Level.INFO, "upstream={} removed"),
--- a/gateway/src/main/java/org/mustardlatch/gateway/store/HttpStoreReader.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/store/HttpStoreReader.java
@@ -17,6 +17,8 @@
 import org.mustardlatch.gateway.http.CallRequest;
 import org.mustardlatch.gateway.http.ResponseEnd;
 import org.mustardlatch.gateway.http.UpstreamPool;
+import org.mustardlatch.gateway.log.EventLog;
+import org.mustardlatch.gateway.log.LogEvent;
 import org.mustardlatch.gateway.store.StoreCodec.ResponseDecoder;
 
 /** Reads objects of one kind from the platform's store over HTTP. */
@@ -96,7 +98,16 @@
       Long known = restoreCount;
       restoreCount = count == null ? known : count;
       boolean restored = count != null && known != null && !count.equals(known);
-      finish(restored ? new StoreResponse.Restored<>() : Objects.requireNonNull(decoder).finish());
+      finish(restored ? new StoreResponse.Restored<>() : decode());
+    }
+
+    private StoreResponse<T> decode() {
+      try {
+        return Objects.requireNonNull(decoder).finish();
+      } catch (RuntimeException e) {
+        EventLog.log(LogEvent.UNEXPECTED_ERROR, "codec of the store", e);
+        return new StoreResponse.Unavailable<>("unreadable response: " + e);
+      }
     }
 
     @Override
--- a/gateway/src/main/java/org/mustardlatch/gateway/store/StoreWatcher.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/store/StoreWatcher.java
@@ -5,6 +5,8 @@
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
 import org.mustardlatch.core.time.TimerService;
+import org.mustardlatch.gateway.log.EventLog;
+import org.mustardlatch.gateway.log.LogEvent;
 
 /**
  * Follows the objects of one kind: lists them once and watches for changes from the revision of the
@@ -89,7 +91,8 @@
     }
     if (!(response instanceof StoreResponse.Unavailable<T>)) {
       if (consecutiveFailures > 0 || !everReachable) {
-        listener.storeReachable(everReachable);
+        boolean afterOutage = everReachable;
+        notifyListener(() -> listener.storeReachable(afterOutage));
       }
       everReachable = true;
       consecutiveFailures = 0;
@@ -106,12 +109,12 @@
       }
       case StoreResponse.HistoryExpired<T> expired -> restartList();
       case StoreResponse.Restored<T> restored -> {
-        listener.storeRestored();
+        notifyListener(listener::storeRestored);
         restartList();
       }
       case StoreResponse.Unavailable<T> u -> {
         if (consecutiveFailures == 0) {
-          listener.storeUnreachable(u.reason());
+          notifyListener(() -> listener.storeUnreachable(u.reason()));
         }
         timers.schedule(backoff(consecutiveFailures), this::resume);
         consecutiveFailures++;
@@ -119,12 +122,21 @@
     }
   }
 
+  /** Calls the listener; an exception, which concerns what it was told, does not end the reading. */
+  private static void notifyListener(Runnable notification) {
+    try {
+      notification.run();
+    } catch (RuntimeException e) {
+      EventLog.log(LogEvent.UNEXPECTED_ERROR, "listener of the store", e);
+    }
+  }
+
   private void addPage(StoreResponse.Page<T> page) {
     PagedList<T> l = Objects.requireNonNull(list);
     l.add(page);
     if (l.isComplete()) {
       revision = l.watchRevision();
-      listener.objectsListed(l.entries(), l.unreadable());
+      notifyListener(() -> listener.objectsListed(l.entries(), l.unreadable()));
     }
   }
 
@@ -132,7 +144,7 @@
     PagedList<T> l = list;
     for (StoreResponse.Change<T> c : changes.changes()) {
       if (l == null || !l.isNewerThan(c)) {
-        listener.objectChanged(c);
+        notifyListener(() -> listener.objectChanged(c));
       }
     }
     revision = changes.revision();
--- a/gateway/src/test/java/org/mustardlatch/gateway/store/StoreWatcherTest.java
+++ b/gateway/src/test/java/org/mustardlatch/gateway/store/StoreWatcherTest.java
@@ -18,6 +18,7 @@
   private final List<String> notifications = new ArrayList<>();
   private final List<String> readerCalls = new ArrayList<>();
   private Consumer<StoreResponse<String>> pendingConsumer = response -> {};
+  private boolean listenerFails;
   private Duration requestedWait = Duration.ZERO;
 
   @BeforeEach
@@ -42,32 +43,39 @@
         new StoreListener<>() {
           @Override
           public void objectsListed(List<StoredEntry<String>> entries, List<String> unreadable) {
-            notifications.add("listed " + entries.stream().map(StoredEntry::name).toList());
+            record("listed " + entries.stream().map(StoredEntry::name).toList());
           }
 
           @Override
           public void objectChanged(StoreResponse.Change<String> change) {
-            notifications.add(change.getClass().getSimpleName());
+            record(change.getClass().getSimpleName());
           }
 
           @Override
           public void storeRestored() {
-            notifications.add("restored");
+            record("restored");
           }
 
           @Override
           public void storeReachable(boolean afterOutage) {
-            notifications.add("reachable " + afterOutage);
+            record("reachable " + afterOutage);
           }
 
           @Override
           public void storeUnreachable(String reason) {
-            notifications.add("unreachable");
+            record("unreachable");
           }
         };
     new StoreWatcher<>(timers, reader, listener, new SplittableRandom(1)).start();
   }
 
+  private void record(String notification) {
+    notifications.add(notification);
+    if (listenerFails) {
+      throw new IllegalStateException(notification);
+    }
+  }
+
   private static StoreResponse.Page<String> page(@Nullable String after, String... names) {
     return pageAt(7, after, names);
   }
@@ -174,6 +182,36 @@
     assertThat(readerCalls).containsExactly("list null");
   }
 
+  // Guards against a reading that ends for good with an exception of a listener.
+  @Test
+  void goesOnReadingWhenItsListenerThrows() {
+    listenerFails = true;
+    pendingConsumer.accept(page(null, "a"));
+    pendingConsumer.accept(
+        new StoreResponse.Changes<>(
+            List.of(
+                new StoreResponse.Change.Removed<>("a", 8),
+                new StoreResponse.Change.Removed<>("b", 9)),
+            9));
+    pendingConsumer.accept(new StoreResponse.Unavailable<>("status 503"));
+    timers.advance(Duration.ofSeconds(1));
+    pendingConsumer.accept(new StoreResponse.Restored<>());
+
+    assertThat(notifications)
+        .containsExactly(
+            "reachable false",
+            "listed [a]",
+            "Removed",
+            "Removed",
+            "unreachable",
+            "reachable true",
+            "restored")
+        .inOrder();
+    assertThat(readerCalls)
+        .containsExactly("list null", "watch 7", "watch 9", "watch 9", "list null")
+        .inOrder();
+  }
+
   @Test
   void limitsTheWatchWaitToDetectASilentConnection() {
     pendingConsumer.accept(page(null, "a"));
