Keep a router's timers after a decision that failed

What callers could see: after one exception in a router's periodic decision it is never made again: queued requests wait until their deadlines, leases of limits and allowances are no longer renewed.

Cause: the router sets its timer again as a part of the decision, and PolicyRunner dropped all commands of an event when the policy or an earlier command threw an exception.

Change: the commands that were emitted are executed, each by itself, and the timer of the failed event fires again after a second. The exception is thrown after that, as before.

--- a/core/src/main/java/org/mustardlatch/core/routing/PolicyRunner.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/PolicyRunner.java
@@ -14,6 +14,9 @@
  * all other commands on; all commands of one event are executed before the next event.
  */
 public final class PolicyRunner {
+  /** Time after which a timer fires again whose event could not be handled. */
+  static final Duration RETRY_DELAY = Duration.ofSeconds(1);
+
   private final TimerService timers;
   private final RoutingPolicy policy;
   private final Consumer<RoutingCommand> commands;
@@ -37,17 +40,47 @@
   /**
    * Passes an event to the policy and executes the commands that it emits. Must be called on the
    * thread of the timer service.
+   *
+   * <p>If the policy or a command throws an exception, the remaining commands are executed before
+   * it is thrown again, and a timer that was not set again fires once more after a while.
    */
   public void handle(RoutingEvent event) {
     List<RoutingCommand> emitted = new ArrayList<>();
-    policy.handle(event, timers.nanos(), emitted::add);
+    RuntimeException failure = null;
+    try {
+      policy.handle(event, timers.nanos(), emitted::add);
+    } catch (RuntimeException e) {
+      failure = e;
+    }
     for (RoutingCommand command : emitted) {
-      switch (command) {
-        case RoutingCommand.SetTimer c -> setTimer(c);
-        case RoutingCommand.CancelTimer c -> cancelTimer(c.key());
-        default -> commands.accept(command);
+      try {
+        execute(command);
+      } catch (RuntimeException e) {
+        if (failure == null) {
+          failure = e;
+        } else {
+          failure.addSuppressed(e);
+        }
       }
     }
+    if (failure != null) {
+      retryTimer(event);
+      throw failure;
+    }
+  }
+
+  private void execute(RoutingCommand command) {
+    switch (command) {
+      case RoutingCommand.SetTimer c -> setTimer(c);
+      case RoutingCommand.CancelTimer c -> cancelTimer(c.key());
+      default -> commands.accept(command);
+    }
+  }
+
+  private void retryTimer(RoutingEvent failed) {
+    if (failed instanceof RoutingEvent.TimerFired f && !activeTimers.containsKey(f.key())) {
+      setTimer(new RoutingCommand.SetTimer(f.key(), timers.nanos() + RETRY_DELAY.toNanos()));
+    }
   }
 
   private void setTimer(RoutingCommand.SetTimer command) {
