--- a/core/src/main/java/org/mustardlatch/core/model/Identifiers.java
+++ b/core/src/main/java/org/mustardlatch/core/model/Identifiers.java
@@ -2,7 +2,7 @@
 
 import com.google.common.hash.Hashing;
 
-/** Validates names that are read from manifests, settings and network messages. */
+/** Validates identifiers, and makes them from the names that a platform's operator chooses. */
 public final class Identifiers {
   private static final int MAX_LENGTH = 63;
   private static final String DIGEST_PREFIX = "sha256-";
@@ -18,10 +18,7 @@
     return isValid(name) && !name.startsWith(DIGEST_PREFIX)
         ? name
         : DIGEST_PREFIX
-            + Hashing.sha256()
-                .hashUnencodedChars(name)
-                .toString()
-                .substring(0, DIGEST_DIGITS);
+            + Hashing.sha256().hashUnencodedChars(name).toString().substring(0, DIGEST_DIGITS);
   }
 
   /**
--- a/core/src/main/java/org/mustardlatch/core/routing/UpstreamLimits.java
+++ b/core/src/main/java/org/mustardlatch/core/routing/UpstreamLimits.java
@@ -160,7 +160,9 @@
       String limit =
           requestsPerSecond.isPresent() ? requestsPerSecond.getAsDouble() + "/s" : "none";
       commands.explain(
-          new RequestId(Identifiers.of("upstream-" + upstream)), rule, "limit=" + limit + " from " + source);
+          new RequestId(Identifiers.of("upstream-" + upstream)),
+          rule,
+          "limit=" + limit + " from " + source);
     }
     return changed;
   }
--- a/core/src/test/java/org/mustardlatch/core/model/IdentifiersTest.java
+++ b/core/src/test/java/org/mustardlatch/core/model/IdentifiersTest.java
@@ -22,7 +22,8 @@
   }
 
   @ParameterizedTest
-  @ValueSource(strings = {"språk-llm", "Core-LLM", "-a", "a b", "", "日本", "a\nb", "a/b", "sha256-a"})
+  @ValueSource(
+      strings = {"språk-llm", "Core-LLM", "-a", "a b", "", "日本", "a\nb", "a/b", "sha256-a"})
   void otherNameHasAValidIdentifier(String name) {
     String identifier = Identifiers.of(name);
 
--- a/gateway/src/main/java/org/mustardlatch/gateway/ApplicationRequestHandler.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/ApplicationRequestHandler.java
@@ -139,8 +139,7 @@
     List<Candidate> result = new ArrayList<>();
     for (Instance i : fleet.instancesForNewWork(request.exchange.service().name())) {
       result.add(
-          new Candidate(
-              i.upstreamId(), i.slots(), networkLatency.roundTripNanos(i.zoneId())));
+          new Candidate(i.upstreamId(), i.slots(), networkLatency.roundTripNanos(i.zoneId())));
     }
     return result;
   }
--- a/gateway/src/main/java/org/mustardlatch/gateway/store/StoreWatcher.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/store/StoreWatcher.java
@@ -122,7 +122,9 @@
     }
   }
 
-  /** Calls the listener; an exception, which concerns what it was told, does not end the reading. */
+  /**
+   * Calls the listener; an exception, which concerns what it was told, does not end the reading.
+   */
   private static void notifyListener(Runnable notification) {
     try {
       notification.run();
--- a/gateway/src/test/java/org/mustardlatch/gateway/FleetStateTest.java
+++ b/gateway/src/test/java/org/mustardlatch/gateway/FleetStateTest.java
@@ -34,8 +34,7 @@
   }
 
   private static GatewayConfiguration configuration(long version) {
-    return new GatewayConfiguration(
-        version, List.of(), List.of(), List.of(), CallerLimits.DEFAULT);
+    return new GatewayConfiguration(version, List.of(), List.of(), List.of(), CallerLimits.DEFAULT);
   }
 
   private void put(long version) {
@@ -65,21 +64,18 @@
     fleet
         .instanceListener()
         .objectsListed(
-            Arrays.stream(instances).map(i -> new StoredEntry<>(i.id(), i, 1)).toList(),
-            List.of());
+            Arrays.stream(instances).map(i -> new StoredEntry<>(i.id(), i, 1)).toList(), List.of());
   }
 
   /** Adds a listener that fails for version 2 and upstreams with 13 slots, and one after it. */
   private void addListeners() {
     fleet.onChange(
         () -> {
-          if (versionInForce() == 2
-              || fleet.instances().stream().anyMatch(i -> i.slots() == 13)) {
+          if (versionInForce() == 2 || fleet.instances().stream().anyMatch(i -> i.slots() == 13)) {
             throw new IllegalStateException("not prepared for this");
           }
         });
-    fleet.onChange(
-() -> seen.add(versionInForce()));
+    fleet.onChange(() -> seen.add(versionInForce()));
   }
 
   @Test
--- a/gateway/src/test/java/org/mustardlatch/gateway/NameTest.java
+++ b/gateway/src/test/java/org/mustardlatch/gateway/NameTest.java
@@ -18,8 +18,8 @@
 import org.mustardlatch.gateway.config.RequestKind;
 
 /**
- * Guards against names of services and upstreams for which a node no longer
- * follows the store, or serves no requests.
+ * Guards against names of services and upstreams for which a node no longer follows the store, or
+ * serves no requests.
  */
 class NameTest {
   private static final EngineSpec ENGINE =
--- a/gateway/src/test/java/org/mustardlatch/gateway/TestGateway.java
+++ b/gateway/src/test/java/org/mustardlatch/gateway/TestGateway.java
@@ -141,8 +141,7 @@
   /** Applies a configuration without workspaces, as if the store had sent it. */
   void applyConfiguration(long version, List<GatewayRoute> routes, List<GatewayService> services)
       throws Exception {
-    var next =
-        new GatewayConfiguration(version, routes, services, List.of(), CallerLimits.DEFAULT);
+    var next = new GatewayConfiguration(version, routes, services, List.of(), CallerLimits.DEFAULT);
     var change = new StoreResponse.Change.Put<>(new StoredEntry<>("main", next, version));
     runOnEventLoop(() -> fleet.configurationListener().objectChanged(change));
   }
