Read the settings again when they change, and join through new seeds

Each node knows only itself for good and grants the share of one of the nodes that its settings name.

Cause: the settings were read at the start only. SIGHUP was logged, a change of the file without a signal not noticed, and nodes find each other through the seeds alone.

The seeds take effect at once, all else at the next start; invalid settings are logged and change nothing. For 30 s after a change a node asks those seeds that are not live each second, though it has joined: they may belong to another part of the fleet, or start later.

--- a/core/src/main/java/org/mustardlatch/core/membership/FleetJoiner.java
+++ b/core/src/main/java/org/mustardlatch/core/membership/FleetJoiner.java
@@ -12,7 +12,7 @@
  * Sends join requests to the seeds and to the addresses listed in the object service; either source
  * is enough. After the node has joined, it sends one such request every 30 s to an address that
  * belongs to no live node, so that two halves of a partitioned fleet that removed each other merge
- * again.
+ * again; more often for some time after the seeds have changed.
  */
 final class FleetJoiner {
   private final MembershipState state;
@@ -21,6 +21,8 @@
   private Set<String> listedAddresses = Set.of();
   private boolean joined;
   private long lastJoinNanos;
+  private boolean hasNewSeeds;
+  private long seedsChangedNanos;
 
   FleetJoiner(MembershipState state, List<String> seeds, RandomGenerator random, long now) {
     this.state = state;
@@ -33,6 +35,15 @@
     listedAddresses = new LinkedHashSet<>(addresses);
   }
 
+  void updateSeeds(List<String> addresses, long now) {
+    if (!seeds.equals(Set.copyOf(addresses))) {
+      seeds.clear();
+      seeds.addAll(addresses);
+      hasNewSeeds = true;
+      seedsChangedNanos = now;
+    }
+  }
+
   void markJoined() {
     joined = true;
   }
@@ -42,13 +53,15 @@
   }
 
   void tick(long now, Consumer<MembershipCommand> out) {
-    long period = joined ? MembershipConstants.REJOIN_PERIOD : MembershipConstants.JOIN_PERIOD;
+    hasNewSeeds = hasNewSeeds && now - seedsChangedNanos < MembershipConstants.NEW_SEEDS_PERIOD;
+    boolean urgent = !joined || hasNewSeeds;
+    long period = urgent ? MembershipConstants.JOIN_PERIOD : MembershipConstants.REJOIN_PERIOD;
     if (now - lastJoinNanos < period || state.leaving) {
       return;
     }
     lastJoinNanos = now;
     List<String> candidates = candidates();
-    int fanout = joined ? 1 : MembershipConstants.JOIN_FANOUT;
+    int fanout = urgent ? MembershipConstants.JOIN_FANOUT : 1;
     for (int i = 0; i < fanout && !candidates.isEmpty(); i++) {
       String address = candidates.remove(random.nextInt(candidates.size()));
       out.accept(
--- a/core/src/main/java/org/mustardlatch/core/membership/Membership.java
+++ b/core/src/main/java/org/mustardlatch/core/membership/Membership.java
@@ -82,6 +82,7 @@
       case MembershipEvent.MessageReceived e -> handleMessage(e, nowNanos, out);
       case MembershipEvent.FrameReceived e -> recordFrame(e.from(), e.incarnation(), nowNanos);
       case MembershipEvent.NodesListed e -> joiner.updateListedAddresses(e.addresses());
+      case MembershipEvent.SeedsChanged e -> joiner.updateSeeds(e.addresses(), nowNanos);
       case MembershipEvent.ActiveRevisionChanged e -> state.activeRevision = e.revision();
       case MembershipEvent.LeaveRequested e -> leave(nowNanos, out);
     }
--- a/core/src/main/java/org/mustardlatch/core/membership/MembershipConstants.java
+++ b/core/src/main/java/org/mustardlatch/core/membership/MembershipConstants.java
@@ -66,6 +66,12 @@
   /** Interval of join requests after the node has joined. */
   static final long REJOIN_PERIOD = Duration.ofSeconds(30).toNanos();
 
+  /**
+   * Time after a change of the seeds in which join requests are sent to those that are not live as
+   * if the node had not joined: they may belong to another part of the fleet, or start later.
+   */
+  static final long NEW_SEEDS_PERIOD = Duration.ofSeconds(30).toNanos();
+
   /** Time for which the record of a node that is dead or has left is kept. */
   static final long TOMBSTONE_LIFETIME = Duration.ofMinutes(30).toNanos();
 
--- a/core/src/main/java/org/mustardlatch/core/membership/MembershipEvent.java
+++ b/core/src/main/java/org/mustardlatch/core/membership/MembershipEvent.java
@@ -27,6 +27,14 @@
     }
   }
 
+  /** Change of the addresses through which nodes join, as the settings name them. */
+  record SeedsChanged(List<String> addresses) implements MembershipEvent {
+    /** Copies the list. */
+    public SeedsChanged {
+      addresses = List.copyOf(addresses);
+    }
+  }
+
   /** Change of the active manifest revision of this node, which heartbeats carry. */
   record ActiveRevisionChanged(long revision) implements MembershipEvent {}
 
--- a/core/src/test/java/org/mustardlatch/core/fleet/MembershipFleetTest.java
+++ b/core/src/test/java/org/mustardlatch/core/fleet/MembershipFleetTest.java
@@ -74,6 +74,37 @@
         });
   }
 
+  /** Guards against nodes that started with outdated seeds and never meet. */
+  @Test
+  void nodesWithOutdatedSeedsMeetWhenTheirSeedsAreReplaced() {
+    for (int seed : Seeds.of("fleet", SEEDS)) {
+      FleetSimulation fleet = new FleetSimulation(seed);
+      for (int i = 0; i < FLEET_SIZE; i++) {
+        fleet.start("n" + i, i % 2 == 0 ? "r0" : "r1", List.of("gone1:1", "gone2:1"));
+      }
+      fleet.advance(Duration.ofSeconds(3));
+      assertThat(fleet.nodeAt(5).seesExactly(List.of(fleet.nodeAt(5)))).isTrue();
+      fleet.runningNodes().forEach(n -> n.changeSeeds(fleet.joinAddresses()));
+      fleet.runUntilMembershipAgrees(Duration.ofSeconds(6));
+    }
+  }
+
+  /** Guards against two parts of a fleet that meet only by the rare attempts of joined nodes. */
+  @Test
+  void partsOfAFleetMeetWhenTheSeedsOfOneAreReplacedByNodesThatStartLater() {
+    for (int seed : Seeds.of("fleet", SEEDS)) {
+      FleetSimulation fleet = new FleetSimulation(seed);
+      for (int i = 0; i < 6; i++) {
+        fleet.start("old" + i, i % 2 == 0 ? "r0" : "r1", List.of("old0:1"));
+      }
+      fleet.runUntilMembershipAgrees(Duration.ofSeconds(20));
+      fleet.runningNodes().forEach(n -> n.changeSeeds(fleet.joinAddresses()));
+      fleet.advance(Duration.ofSeconds(4));
+      fleet.startAll(0, 6);
+      fleet.runUntilMembershipAgrees(Duration.ofSeconds(6));
+    }
+  }
+
   /**
    * Guards against fencing, which cancels all attempts of a node, after a pause too short for it to
    * be declared dead.
--- a/core/src/test/java/org/mustardlatch/core/fleet/SimulatedNode.java
+++ b/core/src/test/java/org/mustardlatch/core/fleet/SimulatedNode.java
@@ -93,6 +93,11 @@
     handleRolloutEvent(new RolloutEvent.Tick());
   }
 
+  /** Gives the node other addresses through which it joins, as a change of its settings does. */
+  void changeSeeds(List<String> joinAddresses) {
+    handleMembershipEvent(new MembershipEvent.SeedsChanged(joinAddresses));
+  }
+
   /** Ends the process without notifying the other nodes. */
   void kill() {
     running = false;
--- a/daemon/src/main/java/org/mustardlatch/daemon/Main.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/Main.java
@@ -14,11 +14,13 @@
 import org.mustardlatch.core.error.ParseResult;
 import org.mustardlatch.core.settings.Settings;
 import org.mustardlatch.core.settings.SettingsParser;
+import org.mustardlatch.daemon.node.EventLoop;
+import org.mustardlatch.daemon.node.SettingsWatcher;
+import org.mustardlatch.gateway.GatewaySettings;
 import org.mustardlatch.gateway.log.EventLog;
 import org.mustardlatch.gateway.log.LogEvent;
 import org.mustardlatch.gateway.node.GatewayNode;
 import org.mustardlatch.gateway.node.NodeAdapter;
-import org.mustardlatch.gateway.node.PlatformComponents;
 import org.mustardlatch.gateway.node.Signals;
 
 /**
@@ -80,9 +82,7 @@
       String text = Files.readString(file, StandardCharsets.UTF_8);
       for (NodeAdapter adapter : ServiceLoader.load(NodeAdapter.class)) {
         if (adapter.recognises(text)) {
-          // Of two lines with the same key the last one counts.
-          String all = text + "\n" + String.join("\n", overrides);
-          return runOnPlatform(adapter.createComponents(file.toString(), all));
+          return runOnPlatform(adapter, file, text, overrides);
         }
       }
       if (!overrides.isEmpty()) {
@@ -112,15 +112,27 @@
   }
 
   /** Runs a node whose settings file is in the format of a platform. */
-  private static int runOnPlatform(PlatformComponents components) {
+  private static int runOnPlatform(
+      NodeAdapter adapter, Path file, String text, List<String> overrides) {
     long startNanos = System.nanoTime();
-    GatewayNode node = new GatewayNode(components);
+    GatewayNode node =
+        new GatewayNode(adapter.createComponents(file.toString(), withOverrides(text, overrides)));
+    EventLoop settingsLoop = new EventLoop("settings");
+    SettingsWatcher watcher =
+        new SettingsWatcher(
+            file,
+            text,
+            settingsLoop,
+            changed -> applySettings(node, adapter, file, withOverrides(changed, overrides)));
     Signals.handle("TERM", node::drain);
     Signals.handle("INT", node::drain);
-    Signals.handle("HUP", () -> EventLog.log(LogEvent.SETTINGS_CHANGED));
+    Signals.handle("HUP", watcher::reload);
     try {
       node.start();
+      watcher.start();
       node.awaitDrained();
+      watcher.stop();
+      settingsLoop.stop();
       node.stop();
     } catch (InterruptedException | RuntimeException e) {
       EventLog.log(LogEvent.UNEXPECTED_ERROR, "node", e);
@@ -130,6 +142,23 @@
     return EXIT_OK;
   }
 
+  private static String withOverrides(String text, List<String> overrides) {
+    // Of two lines with the same key the last one counts.
+    return text + "\n" + String.join("\n", overrides);
+  }
+
+  /** Applies changed settings to a running node, which goes on without them if they are invalid. */
+  private static void applySettings(
+      GatewayNode node, NodeAdapter adapter, Path file, String settings) {
+    try {
+      GatewaySettings next = adapter.readSettings(file.toString(), settings);
+      EventLog.log(LogEvent.SETTINGS_CHANGED, next.peerSeeds());
+      node.settingsChanged(next);
+    } catch (MustardlatchException e) {
+      EventLog.log(LogEvent.SETTINGS_INVALID, String.valueOf(e.getMessage()));
+    }
+  }
+
   private static Settings parseSettings(Path file, String text) {
     ParseResult<Settings> result = SettingsParser.parse(file.toString(), text);
     return result.orThrow(ErrorCode.SETTINGS_INVALID);
--- a/gateway/src/main/java/org/mustardlatch/gateway/Gateway.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/Gateway.java
@@ -137,6 +137,14 @@
     EventLog.log(LogEvent.GATEWAY_LISTENING, settings.callerAddress(), settings.readinessAddress());
   }
 
+  /**
+   * Applies settings that were read again: the seeds. All others count from the next start. Must be
+   * called on the event loop.
+   */
+  public void settingsChanged(GatewaySettings next) {
+    generationHandler.seedsChanged(next.peerSeeds());
+  }
+
   private void upstreamResponded(Instance target, HttpResponse head) {
     ResponseMetadata metadata = protocol.readResponse(head);
     // What listeners and the router do must not run inside the connection's handler.
--- a/gateway/src/main/java/org/mustardlatch/gateway/GenerationRequestHandler.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/GenerationRequestHandler.java
@@ -114,6 +114,12 @@
     this.runner = new PolicyRunner(timers, router, this::executeCommand);
   }
 
+  /** Joins the fleet through these addresses from now on. */
+  void seedsChanged(List<String> addresses) {
+    router.expectNodes(addresses.size());
+    peers.seedsChanged(addresses);
+  }
+
   /** Starts to join the fleet and passes the events of peers to the router. */
   void startPeers() {
     peers.start(runner::handle);
--- a/gateway/src/main/java/org/mustardlatch/gateway/NoPeers.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/NoPeers.java
@@ -25,6 +25,9 @@
     events.accept(new RoutingEvent.MembersChanged(members()));
   }
 
+  @Override
+  public void seedsChanged(List<String> addresses) {}
+
   @Override
   public void send(HostId to, PeerMessage message) {
     throw new IllegalStateException("a standalone node has no peer " + to);
--- a/gateway/src/main/java/org/mustardlatch/gateway/Peers.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/Peers.java
@@ -17,6 +17,9 @@
    */
   void start(Consumer<RoutingEvent> events);
 
+  /** Replaces the addresses of peers to contact for joining the fleet. */
+  void seedsChanged(List<String> addresses);
+
   /** Sends a message to a peer. Delivery is not guaranteed. */
   void send(HostId to, PeerMessage message);
 
--- a/gateway/src/main/java/org/mustardlatch/gateway/log/LogEvent.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/log/LogEvent.java
@@ -70,7 +70,10 @@
           + " ended_by={} partial_event_bytes={}"),
   CALLER_CONNECTION_BROKEN(8032, Level.INFO, "caller connection was broken already reason={}"),
   OBJECT_UNREADABLE(8019, Level.WARN, "object kind={} name={} unreadable reason={}"),
-  SETTINGS_CHANGED(8029, Level.INFO, "reload requested; settings are read at the next start"),
+  SETTINGS_CHANGED(
+      8029,
+      Level.INFO,
+      "settings read again seeds={}; all other changes count from the next start"),
   CALL_BROKEN(8034, Level.INFO, "request={} content={} upstream={} probed after its call broke"),
   CALL_ABANDONED(
       8039, Level.INFO, "request={} content={} upstream={} observed after its call was cancelled"),
--- a/gateway/src/main/java/org/mustardlatch/gateway/node/GatewayNode.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/node/GatewayNode.java
@@ -81,6 +81,11 @@
         });
   }
 
+  /** Applies those of the settings that may change while the node runs. Returns immediately. */
+  public void settingsChanged(GatewaySettings next) {
+    loop.execute(() -> gateway.settingsChanged(next));
+  }
+
   /**
    * Starts draining: the readiness check fails, and new connections are accepted only until the
    * load balancer has had time to react. Returns immediately.
--- a/gateway/src/main/java/org/mustardlatch/gateway/node/NetworkPeers.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/node/NetworkPeers.java
@@ -72,6 +72,11 @@
     EventLog.log(LogEvent.PEERS_LISTENING, node.start(), node.members().members().size());
   }
 
+  @Override
+  public void seedsChanged(List<String> addresses) {
+    node.seedsChanged(addresses);
+  }
+
   @Override
   public void send(HostId to, PeerMessage message) {
     node.send(to, message);
--- a/wire/src/main/java/org/mustardlatch/wire/PeerNode.java
+++ b/wire/src/main/java/org/mustardlatch/wire/PeerNode.java
@@ -149,6 +149,11 @@
     tasks.onNext(() -> handleMembershipEvent(new MembershipEvent.NodesListed(addresses)));
   }
 
+  /** Replaces the peer addresses through which this node joins the fleet. */
+  public void seedsChanged(List<String> addresses) {
+    tasks.onNext(() -> handleMembershipEvent(new MembershipEvent.SeedsChanged(addresses)));
+  }
+
   /** Reports the manifest in the object service; revision 0 with empty text if there is none. */
   public void manifestStored(long storedRevision, String text) {
     tasks.onNext(() -> handleRolloutEvent(new RolloutEvent.StoreRead(storedRevision, text)));
