Compare a change with the listed object's own revision

Pages are as new as they say by the platform's rules, but a store that reads its revision after the objects would lose the change for good.

Change: PagedList keeps the revision of each listed object; that of the page decides only for objects that it does not show.

Evidence: passesOnAChangeThatAPageOfItsRevisionDoesNotShow failed before; it and ChangesWhileListingTest pass now.

--- a/gateway/src/main/java/org/mustardlatch/gateway/store/PagedList.java
+++ b/gateway/src/main/java/org/mustardlatch/gateway/store/PagedList.java
@@ -20,8 +20,8 @@
   /** Revision of each page but the last, by the name of its last object. */
   private final TreeMap<String, Long> pageRevisions = new TreeMap<>();
 
-  /** Objects that changed after the first page was read, with the revision that was listed. */
-  private final Map<String, Long> changedWhileListing = new HashMap<>();
+  /** The revision of each listed object; 0 once its listed change has been passed. */
+  private final Map<String, Long> listedRevisions = new HashMap<>();
 
   private @Nullable Long firstRevision;
   private long lastRevision;
@@ -29,8 +29,7 @@
 
   /** Adds the next page. */
   void add(StoreResponse.Page<T> page) {
-    long first = firstRevision == null ? page.revision() : firstRevision;
-    firstRevision = first;
+    firstRevision = firstRevision == null ? page.revision() : firstRevision;
     lastRevision = page.revision();
     nextPageAfter = page.nextPageAfter();
     entries.addAll(page.entries());
@@ -38,11 +37,7 @@
     if (nextPageAfter != null) {
       pageRevisions.put(nextPageAfter, page.revision());
     }
-    for (StoredEntry<T> e : page.entries()) {
-      if (e.revision() > first) {
-        changedWhileListing.put(e.name(), e.revision());
-      }
-    }
+    page.entries().forEach(e -> listedRevisions.put(e.name(), e.revision()));
   }
 
   /** Returns the name after which the next page starts; null at the start and after the end. */
@@ -83,19 +78,28 @@
    * {@link #watchRevision} have to be passed once each, in order.
    */
   boolean isNewerThan(Change<T> change) {
-    Long listed = changedWhileListing.get(change.name());
-    long revision = change.revision();
-    if (listed != null) {
-      // A removal may state the revision of the change before it, so that only the listed change
-      // itself tells which removals were before it.
-      boolean older = change instanceof Change.Removed<T> || (revision != 0 && revision < listed);
-      if (!older && revision != 0) {
-        changedWhileListing.remove(change.name());
-      }
-      return older;
-    }
+    Long listed = listedRevisions.get(change.name());
+    return listed == null ? omits(change) : isOlder(change, listed);
+  }
+
+  /** Returns whether the page that would show the object is newer than its creation. */
+  private boolean omits(Change<T> change) {
     Map.Entry<String, Long> page = pageRevisions.ceilingEntry(change.name());
     long pageRevision = page == null ? lastRevision : page.getValue();
-    return !(change instanceof Change.Removed<T>) && revision != 0 && revision <= pageRevision;
+    boolean removal = change instanceof Change.Removed<T>;
+    return !removal && change.revision() != 0 && change.revision() <= pageRevision;
+  }
+
+  private boolean isOlder(Change<T> change, long listed) {
+    if (change instanceof Change.Removed<T>) {
+      // A removal may state the revision of the change before it. It was before the listed change
+      // if that came after the first page, and has not been passed.
+      return listed > watchRevision();
+    }
+    boolean older = change.revision() != 0 && change.revision() < listed;
+    if (!older && change.revision() != 0) {
+      listedRevisions.put(change.name(), 0L);
+    }
+    return older;
   }
 }
--- a/gateway/src/test/java/org/mustardlatch/gateway/store/StoreWatcherTest.java
+++ b/gateway/src/test/java/org/mustardlatch/gateway/store/StoreWatcherTest.java
@@ -144,6 +144,18 @@
     assertThat(readerCalls).containsExactly("list null", "list b", "watch 7").inOrder();
   }
 
+  // Guards against a missed change if a store reads its revision after the objects of a page.
+  @Test
+  void passesOnAChangeThatAPageOfItsRevisionDoesNotShow() {
+    pendingConsumer.accept(pageAt(7, "b", "a", "b"));
+    pendingConsumer.accept(pageAt(9, null, "c"));
+    pendingConsumer.accept(
+        new StoreResponse.Changes<>(
+            List.of(new StoreResponse.Change.Put<>(new StoredEntry<>("c", "new", 8))), 9));
+
+    assertThat(notifications.getLast()).isEqualTo("Put");
+  }
+
   @Test
   void continuesAListWithItsNextPageAfterAnOutage() {
     pendingConsumer.accept(page("b", "a", "b"));
