Apply settings that change while a node starts

Change: the watcher reads nothing before its start, which reads the file, as it may have changed since it was read first. Nothing is passed on after a stop.

--- a/daemon/src/main/java/org/mustardlatch/daemon/node/SettingsWatcher.java
+++ b/daemon/src/main/java/org/mustardlatch/daemon/node/SettingsWatcher.java
@@ -29,6 +29,7 @@
   private final Path file;
   private final TimerService timers;
   private final Consumer<String> listener;
+  private volatile boolean running;
   private String text;
   private @Nullable Stamp stamp;
   private TimerSubscription subscription = () -> {};
@@ -47,19 +48,27 @@
     this.listener = listener;
   }
 
-  /** Starts to look at the file. */
+  /** Reads the file, which may have changed since it was read first, and starts to look at it. */
   public void start() {
+    running = true;
+    reload();
     subscription = timers.scheduleRepeating(CHECK_PERIOD, this::check);
   }
 
   /** Stops looking at the file. */
   public void stop() {
+    running = false;
     subscription.cancel();
   }
 
-  /** Reads the file at once, as it is known to have changed. May be called on any thread. */
+  /**
+   * Reads the file at once, as it is known to have changed; before {@link #start}, that reads it.
+   * May be called on any thread.
+   */
   public void reload() {
-    timers.schedule(Duration.ZERO, () -> apply(read()));
+    if (running) {
+      timers.schedule(Duration.ZERO, () -> apply(read()));
+    }
   }
 
   private void check() {
@@ -81,7 +90,7 @@
   }
 
   private void apply(@Nullable String next) {
-    if (next != null && !next.equals(text)) {
+    if (running && next != null && !next.equals(text)) {
       text = next;
       listener.accept(next);
     }
--- a/daemon/src/test/java/org/mustardlatch/daemon/node/SettingsWatcherTest.java
+++ b/daemon/src/test/java/org/mustardlatch/daemon/node/SettingsWatcherTest.java
@@ -56,6 +56,7 @@
 
   @Test
   void changeBetweenTheStartAndTheFirstLookIsPassedOn() throws IOException {
+    timers.advance(Duration.ZERO);
     Files.writeString(file, "a=2");
     timers.advance(LONG_TIME);
 
@@ -93,8 +94,24 @@
     assertThat(received).containsExactly("a=2");
   }
 
+  // Its listener is not ready before the start.
+  @Test
+  void changeBeforeTheStartIsPassedOnAtTheStart() throws IOException {
+    watcher.stop();
+    watcher = new SettingsWatcher(file, "a=1", timers, received::add);
+    Files.writeString(file, "a=2");
+    watcher.reload();
+    timers.advance(LONG_TIME);
+    assertThat(received).isEmpty();
+    watcher.start();
+    timers.advance(Duration.ZERO);
+
+    assertThat(received).containsExactly("a=2");
+  }
+
   @Test
   void nothingIsPassedOnAfterAStop() throws IOException {
+    timers.advance(LONG_TIME);
     watcher.stop();
     Files.writeString(file, "a=2");
     timers.advance(LONG_TIME);
