Wait in a test until an upstream has read the body

Cause: its upstream responds after the head of a request and reads the body afterwards, on a thread of its own. The test looked at the lengths that were read as soon as the caller had its response, before that thread went on. The gateway is not concerned: the head of the second request had arrived on a connection on which the whole first body had been read.

Change: the test waits for the length, up to 5 s. It asserts the same.

--- a/gateway/src/test/java/org/mustardlatch/gateway/DataPathTest.java
+++ b/gateway/src/test/java/org/mustardlatch/gateway/DataPathTest.java
@@ -14,8 +14,10 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -108,7 +110,7 @@
   void sendsTheWholeBodyBeforeTheNextRequestWhenTheResponseComesEarly() throws Exception {
     String body = "b".repeat(200_000);
     List<String> heads = new CopyOnWriteArrayList<>();
-    List<Integer> lengths = new CopyOnWriteArrayList<>();
+    BlockingQueue<Integer> lengths = new LinkedBlockingQueue<>();
     try (ServerSocket server = new ServerSocket()) {
       // A small receive window, so that a part of the body is still unsent when the response
       // arrives.
@@ -121,11 +123,17 @@
       assertThat(gateway.sendAndReadAll(post("/once/y", "next"))).endsWith("done");
     }
     assertThat(heads.get(1)).startsWith("POST /once/y HTTP/1.1\r\n");
-    assertThat(lengths).contains(4);
+    // The upstream responds before it reads the body.
+    Integer length = lengths.poll(5, TimeUnit.SECONDS);
+    while (length != null && length != 4) {
+      length = lengths.poll(5, TimeUnit.SECONDS);
+    }
+    assertThat(length).isEqualTo(4);
   }
 
   /** Responds to each request after its head and reads the body only afterwards. */
-  private static void respondEarly(ServerSocket server, List<String> heads, List<Integer> lengths) {
+  private static void respondEarly(
+      ServerSocket server, List<String> heads, BlockingQueue<Integer> lengths) {
     while (!server.isClosed()) {
       try {
         Socket s = server.accept();
